Set down the design, the workspace and the core types

The shape of the code is fixed by the first commit: one package per aggregate, length-counted strings, typed errors, tables of function pointers, and scripted tests with expected output. The headers of the decision packages state their rules before their code exists, so that the parts can be written independently.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,127 @@
+# Targets: all, check, demo, bench, matrix, install-deps, format, clean.
+
+CC = gcc
+BUILD ?= build
+SANITIZE ?=
+PKGS = libuv glib-2.0 jansson libtirpc inih libxxhash
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+       -Wmissing-prototypes -Wpointer-arith
+CFLAGS ?= -O2 -g
+override CFLAGS += -std=gnu11 $(WARN) -MMD -MP -Ipackages -Itests -Ibench \
+	-DH2O_USE_LIBUV=1 $(SANITIZE) $(shell pkg-config --cflags $(PKGS))
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -lh2o -lssl -lcrypto -lm
+
+DAEMON_SRC = $(wildcard packages/daemon/*.c)
+CTL_SRC = $(wildcard packages/ctl/*.c)
+LIB_SRC = $(filter-out $(DAEMON_SRC) $(CTL_SRC),$(wildcard packages/*/*.c))
+STANDIN_SRC = $(wildcard tests/standin/*.c)
+SCENARIO_SRC = $(wildcard tests/scenario/*.c)
+BENCH_SRC = $(wildcard bench/*.c)
+UNIT_SRC = $(wildcard packages/*/tests/*.c)
+
+obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
+LIB = $(BUILD)/libgentianbend.a
+UNITS = $(patsubst %.c,$(BUILD)/%,$(UNIT_SRC))
+
+# A program is built from every file in its folder named PROGRAM-*.c; a file
+# named common-*.c serves all programs of the folder.
+programs = $(sort $(foreach f,$(notdir $(1)),$(firstword $(subst -, ,$(f)))))
+STANDINS = $(addprefix $(BUILD)/,\
+	$(filter-out common,$(call programs,$(STANDIN_SRC))))
+SCENARIOS = $(if $(SCENARIO_SRC),$(BUILD)/scenario)
+BENCHES = $(addprefix $(BUILD)/bench-,\
+	$(filter-out common,$(call programs,$(BENCH_SRC))))
+BINARIES = $(if $(DAEMON_SRC),$(BUILD)/gentianbend) \
+	$(if $(CTL_SRC),$(BUILD)/gentianctl)
+
+.PHONY: all check demo bench matrix install-deps format format-check lint \
+	unit scenario process asan clean
+.SECONDARY:
+
+all: $(BINARIES) $(STANDINS) $(SCENARIOS) $(BENCHES) $(UNITS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -c -o $@ $<
+
+$(LIB): $(call obj,$(LIB_SRC))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/gentianbend: $(call obj,$(DAEMON_SRC)) $(LIB)
+	$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/gentianctl: $(call obj,$(CTL_SRC)) $(LIB)
+	$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/scenario: $(call obj,$(SCENARIO_SRC)) $(LIB)
+	$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+
+$(UNITS): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/script/scr.o $(LIB)
+	$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+
+# The scenario engine without its main function serves the benches too.
+SCENARIO_ENGINE = $(filter-out tests/scenario/scn-main.c,$(SCENARIO_SRC))
+
+define program
+$(1): $(call obj,$(filter $(2)/$(3)-% $(2)/common-%,$(4))) $(5) $(LIB)
+	$$(CC) $$(SANITIZE) -o $$@ $$^ $$(LDLIBS)
+endef
+$(foreach p,$(filter-out common,$(call programs,$(STANDIN_SRC))),\
+	$(eval $(call program,$(BUILD)/$(p),tests/standin,$(p),$(STANDIN_SRC),)))
+$(foreach p,$(filter-out common,$(call programs,$(BENCH_SRC))),\
+	$(eval $(call program,$(BUILD)/bench-$(p),bench,$(p),$(BENCH_SRC),\
+	$(call obj,$(SCENARIO_ENGINE)))))
+
+SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
+	grep -v generated)
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint:
+	cppcheck --quiet --std=c11 --error-exitcode=1 -j 8 \
+		--enable=warning,performance,portability --inline-suppr \
+		--library=gtk \
+		-Ipackages -Itests packages tests bench
+
+install-deps:
+	@.ci/install
+
+unit: $(UNITS)
+	tests/run-units $(UNITS)
+
+scenario: $(SCENARIOS)
+	tests/run-scenarios $(BUILD)
+
+process: all
+	tests/run-processes $(BUILD)
+
+asan:
+	$(MAKE) BUILD=build-asan CFLAGS="-O1 -g" \
+		SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer" \
+		all unit scenario process
+
+check: install-deps
+	$(MAKE) format-check lint
+	$(MAKE) all
+	tests/check
+
+demo: install-deps
+	$(MAKE) all
+	tests/demo $(BUILD)
+
+bench: install-deps
+	$(MAKE) all
+	bench/run $(BUILD)
+
+matrix: all
+	tests/run-matrix $(BUILD) $(SEED)
+
+clean:
+	rm -rf build build-asan
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/packages/config/cfg-find.c
@@ -0,0 +1,126 @@
+#include "config/cfg.h"
+
+int cfg_find_dc(const struct cfg *cfg, struct gb_str name)
+{
+	for (guint i = 0; i < cfg->dcs->len; i++)
+		if (gb_str_eq(cfg_dc(cfg, i)->name, name))
+			return i;
+	return -1;
+}
+
+int cfg_find_vm(const struct cfg *cfg, uint32_t id)
+{
+	for (guint i = 0; i < cfg->vms->len; i++)
+		if (cfg_vm(cfg, i)->id == id)
+			return i;
+	return -1;
+}
+
+int cfg_find_service(const struct cfg *cfg, struct gb_str name)
+{
+	for (guint i = 0; i < cfg->services->len; i++)
+		if (gb_str_eq(cfg_service(cfg, i)->name, name))
+			return i;
+	return -1;
+}
+
+bool cfg_has_change(const struct cfg *cfg, uint64_t change)
+{
+	for (guint i = 0; i < cfg->changes->len; i++)
+		if (g_array_index(cfg->changes, uint64_t, i) == change)
+			return true;
+	return false;
+}
+
+const struct cfg_dc *cfg_dc(const struct cfg *cfg, uint32_t index)
+{
+	return &g_array_index(cfg->dcs, struct cfg_dc, index);
+}
+
+const struct cfg_vm *cfg_vm(const struct cfg *cfg, uint32_t index)
+{
+	return &g_array_index(cfg->vms, struct cfg_vm, index);
+}
+
+const struct cfg_service *cfg_service(const struct cfg *cfg, uint32_t index)
+{
+	return &g_array_index(cfg->services, struct cfg_service, index);
+}
+
+const struct cfg_shard *cfg_shard(const struct cfg_service *service,
+				  uint32_t index)
+{
+	return &g_array_index(service->shards, struct cfg_shard, index);
+}
+
+const struct cfg_replica *cfg_replica(const struct cfg_shard *shard,
+				      uint32_t index)
+{
+	return &g_array_index(shard->replicas, struct cfg_replica, index);
+}
+
+const struct cfg_snapshot *cfg_snapshot(const struct cfg_service *service,
+					uint64_t id)
+{
+	for (guint i = 0; i < service->snapshots->len; i++) {
+		const struct cfg_snapshot *snapshot = &g_array_index(
+			service->snapshots, struct cfg_snapshot, i);
+
+		if (snapshot->id == id)
+			return snapshot;
+	}
+	return NULL;
+}
+
+const struct cfg_snapshot *
+cfg_newest_snapshot(const struct cfg_service *service)
+{
+	if (!service->snapshots->len)
+		return NULL;
+	return &g_array_index(service->snapshots, struct cfg_snapshot,
+			      service->snapshots->len - 1);
+}
+
+uint64_t cfg_snapshot_docs(const struct cfg_snapshot *snapshot)
+{
+	uint64_t sum = 0;
+
+	for (guint i = 0; i < snapshot->docs->len; i++)
+		sum += cfg_shard_docs(snapshot, i);
+	return sum;
+}
+
+uint64_t cfg_shard_docs(const struct cfg_snapshot *snapshot, uint32_t shard)
+{
+	if (shard >= snapshot->docs->len)
+		return 0;
+	return g_array_index(snapshot->docs, uint64_t, shard);
+}
+
+uint32_t cfg_granters(const struct cfg *cfg)
+{
+	return MIN(cfg->vms->len, CFG_GRANTERS_MAX);
+}
+
+uint32_t cfg_majority(const struct cfg *cfg)
+{
+	return cfg_granters(cfg) / 2 + 1;
+}
+
+uint32_t cfg_unit(const struct cfg_service *service, uint32_t shard)
+{
+	return gb_hash_u64(gb_hash(service->name, 0), shard) % CFG_UNITS;
+}
+
+bool cfg_replica_open(const struct cfg *cfg, const struct cfg_replica *replica)
+{
+	return !replica->draining && !cfg_dc(cfg, replica->dc)->out;
+}
+
+uint32_t cfg_connection_share(const struct cfg *cfg,
+			      const struct cfg_service *service)
+{
+	uint32_t vms = MAX(cfg->vms->len, 1);
+
+	return MAX(service->limits.connections / vms, 1);
+}
--- /dev/null
+++ b/packages/config/cfg.h
@@ -0,0 +1,163 @@
+#ifndef CFG_H
+#define CFG_H
+
+/*
+ * NAME
+ *	cfg - the configuration aggregate and the store of its newest version
+ *
+ * DESCRIPTION
+ *	A struct cfg is built once, checked by cfg_check() and never changed
+ *	afterwards; holders share it by reference count. Its version is the
+ *	version of the platform object that carries it. A change is made on a
+ *	copy (cfg_copy()) and written to the platform conditionally.
+ *
+ *	A cfg_store holds the newest version known to one VM. It refuses every
+ *	version that is not higher, whatever its source.
+ */
+
+#include "base/gb.h"
+
+#include <glib.h>
+
+#define CFG_VMS_MAX 64
+#define CFG_GRANTERS_MAX 4 /* see docs/design.md, 7.2 */
+#define CFG_SHARDS_MAX 4096
+#define CFG_REPLICAS_MAX 64
+#define CFG_CHANGES_MAX 32
+#define CFG_UNITS 256
+#define CFG_OBJECT_MAX (1024 * 1024)
+
+struct cfg_dc {
+	struct gb_str name;
+	struct gb_str region;
+	bool out;	     /* taken out by an operator */
+	gb_time returned_ms; /* wall time of the last return, for the ramp */
+};
+
+struct cfg_vm {
+	uint32_t id; /* stable; never reused for another address */
+	struct gb_str name;
+	struct gb_str host;
+	uint16_t peer_port;
+	uint16_t http_port;
+	uint32_t dc; /* index into dcs */
+};
+
+struct cfg_replica {
+	struct gb_str name;
+	struct gb_str host;
+	uint16_t port;
+	uint32_t dc;
+	bool draining; /* leaving: receives no new work */
+};
+
+struct cfg_shard {
+	GArray *replicas; /* of struct cfg_replica */
+};
+
+/* One index version: documents of each shard, in shard order. */
+struct cfg_snapshot {
+	uint64_t id;
+	GArray *docs; /* of uint64_t */
+};
+
+/* What each upstream of the service may bear. */
+struct cfg_limits {
+	uint32_t slots;
+	uint32_t queue; /* accepted beyond the slots, by the upstream */
+	uint32_t connections;
+	uint32_t cold_slots;
+	gb_time ramp; /* from cold_slots to slots after a cold start */
+};
+
+struct cfg_service {
+	struct gb_str name;
+	struct gb_str policy;	 /* "latency" or "coverage" */
+	uint32_t priority;	 /* 0 is served first */
+	uint32_t hedge_permille; /* extra sub-requests, per thousand */
+	gb_time deadline;	 /* default when the caller names none */
+	bool canary;		 /* try an unknown request on one shard first */
+	struct cfg_limits limits;
+	GArray *shards;	   /* of struct cfg_shard */
+	GArray *snapshots; /* of struct cfg_snapshot, newest last */
+};
+
+struct cfg {
+	gint refs;
+	uint64_t version;
+	uint64_t epoch;	  /* of the roster */
+	GArray *dcs;	  /* of struct cfg_dc */
+	GArray *vms;	  /* of struct cfg_vm, ordered by id */
+	GArray *services; /* of struct cfg_service */
+	GArray *changes;  /* of uint64_t, identities of the last changes */
+};
+
+struct cfg *cfg_new(void);
+struct cfg *cfg_copy(const struct cfg *cfg);
+struct cfg *cfg_ref(struct cfg *cfg);
+void cfg_unref(struct cfg *cfg);
+
+/* Add an element with empty arrays; the strings are copied. */
+struct cfg_dc *cfg_add_dc(struct cfg *cfg, struct gb_str name);
+struct cfg_vm *cfg_add_vm(struct cfg *cfg, uint32_t id, struct gb_str name,
+			  struct gb_str host);
+struct cfg_service *cfg_add_service(struct cfg *cfg, struct gb_str name);
+struct cfg_shard *cfg_add_shard(struct cfg_service *service);
+struct cfg_replica *cfg_add_replica(struct cfg_shard *shard, struct gb_str name,
+				    struct gb_str host);
+struct cfg_snapshot *cfg_add_snapshot(struct cfg_service *service, uint64_t id);
+void cfg_set_policy(struct cfg_service *service, struct gb_str policy);
+void cfg_remove_vm(struct cfg *cfg, uint32_t index);
+void cfg_add_change(struct cfg *cfg, uint64_t change);
+
+/* Checks the rules that hold within one version. */
+int cfg_check(const struct cfg *cfg, struct gb_error *err);
+
+/* Checks next as the successor of prev: roster step and epoch. */
+int cfg_check_step(const struct cfg *prev, const struct cfg *next,
+		   struct gb_error *err);
+
+/* Look-ups; an index of -1 or NULL means not found. */
+int cfg_find_dc(const struct cfg *cfg, struct gb_str name);
+int cfg_find_vm(const struct cfg *cfg, uint32_t id);
+int cfg_find_service(const struct cfg *cfg, struct gb_str name);
+bool cfg_has_change(const struct cfg *cfg, uint64_t change);
+const struct cfg_dc *cfg_dc(const struct cfg *cfg, uint32_t index);
+const struct cfg_vm *cfg_vm(const struct cfg *cfg, uint32_t index);
+const struct cfg_service *cfg_service(const struct cfg *cfg, uint32_t index);
+const struct cfg_shard *cfg_shard(const struct cfg_service *service,
+				  uint32_t index);
+const struct cfg_replica *cfg_replica(const struct cfg_shard *shard,
+				      uint32_t index);
+const struct cfg_snapshot *cfg_snapshot(const struct cfg_service *service,
+					uint64_t id);
+const struct cfg_snapshot *
+cfg_newest_snapshot(const struct cfg_service *service);
+uint64_t cfg_snapshot_docs(const struct cfg_snapshot *snapshot);
+uint64_t cfg_shard_docs(const struct cfg_snapshot *snapshot, uint32_t shard);
+
+/* The first CFG_GRANTERS_MAX VMs by id are the granters of the cell. */
+uint32_t cfg_granters(const struct cfg *cfg);
+uint32_t cfg_majority(const struct cfg *cfg);
+
+/* The unit that a shard belongs to. */
+uint32_t cfg_unit(const struct cfg_service *service, uint32_t shard);
+
+/* Tells whether the replica may receive new work. */
+bool cfg_replica_open(const struct cfg *cfg, const struct cfg_replica *replica);
+
+/* Connections that one VM may open to an upstream of the service. */
+uint32_t cfg_connection_share(const struct cfg *cfg,
+			      const struct cfg_service *service);
+
+struct cfg_store {
+	struct cfg *current; /* NULL until a version is known */
+};
+
+/* Takes next if its version is higher; returns 0 if taken. */
+int cfg_store_offer(struct cfg_store *store, struct cfg *next,
+		    struct gb_error *err);
+uint64_t cfg_store_version(const struct cfg_store *store);
+void cfg_store_free(struct cfg_store *store);
+
+#endif
--- /dev/null
+++ b/packages/event/ev.h
@@ -0,0 +1,142 @@
+#ifndef EV_H
+#define EV_H
+
+/*
+ * NAME
+ *	ev - numbered events, hybrid logical clock and ring of recent events
+ *
+ * DESCRIPTION
+ *	Each event has a fixed number, a severity and a name; the table is the
+ *	catalogue that docs/events.md repeats. An event names the request, the
+ *	upstream, the data centre and the VM that it concerns, where it has
+ *	them, and up to two numbers.
+ *
+ *	A stamp of the hybrid logical clock holds the wall time in
+ *	milliseconds in its upper 48 bits and a counter in its lower 16 bits.
+ *	Sorting events of all VMs by stamp, then VM, gives an order that
+ *	agrees with cause and effect.
+ */
+
+#include "base/gb.h"
+
+enum ev_severity {
+	EV_ERROR = 3, /* as syslog's numbers */
+	EV_WARNING = 4,
+	EV_NOTICE = 5,
+	EV_INFO = 6,
+	EV_DEBUG = 7
+};
+
+/* Numbers are fixed for ever; a retired number is never reused. */
+enum ev_code {
+	EV_START = 100,
+	EV_READY = 101,
+	EV_UNREADY = 102,
+	EV_STOP_BEGIN = 103,
+	EV_STOP_END = 104,
+	EV_CONFIG_TAKEN = 200,
+	EV_CONFIG_REFUSED = 201,
+	EV_CONFIG_WRITTEN = 202,
+	EV_CONFIG_CONFLICT = 203,
+	EV_CONFIG_WRITE_UNKNOWN = 204,
+	EV_STORE_DOWN = 205,
+	EV_STORE_UP = 206,
+	EV_MEMBER_LIVE = 300,
+	EV_MEMBER_DEAD = 301,
+	EV_LEASE_GAINED = 302,
+	EV_LEASE_LOST = 303,
+	EV_LEASE_RELEASED = 304,
+	EV_EPOCH_ACTIVE = 305,
+	EV_UPSTREAM_COLD = 400,
+	EV_UPSTREAM_WARM = 401,
+	EV_UPSTREAM_OPENED = 402, /* circuit breaker */
+	EV_UPSTREAM_CLOSED = 403,
+	EV_UPSTREAM_MISMATCH = 404,
+	EV_QUERY_BEGIN = 500,
+	EV_QUERY_END = 501,
+	EV_QUERY_REFUSED = 502,
+	EV_QUERY_RESTARTED = 503,
+	EV_QUERY_CANCELLED = 504,
+	EV_SUB_SENT = 505,
+	EV_SUB_DONE = 506,
+	EV_SUB_HEDGED = 507,
+	EV_SUB_RETRIED = 508,
+	EV_SUB_REFUSED = 509,
+	EV_ORDER_RUN = 600,
+	EV_ORDER_DONE = 601,
+	EV_ORDER_REPLAYED = 602,
+	EV_ORDER_REFUSED = 603,
+	EV_ORDER_UNKNOWN = 604,
+	EV_SUSPECT_CRASH = 700,
+	EV_SUSPECT_QUARANTINED = 701,
+	EV_SUSPECT_CLEARED = 702,
+	EV_PLAN_MADE = 800,
+	EV_PLAN_CONFIRMED = 801,
+	EV_PLAN_CONFLICT = 802,
+	EV_PEER_CONNECTED = 900,
+	EV_PEER_LOST = 901,
+	EV_PEER_BAD_MESSAGE = 902,
+	EV_SETTINGS_BAD = 903,
+	EV_HTTP_BAD_REQUEST = 904
+};
+
+struct ev_event {
+	uint64_t hlc;
+	enum ev_code code;
+	uint32_t vm;
+	struct gb_str request;
+	struct gb_str upstream;
+	struct gb_str dc;
+	int64_t a; /* meaning given by the catalogue row */
+	int64_t b;
+};
+
+struct ev_row {
+	enum ev_code code;
+	enum ev_severity severity;
+	struct gb_str name;
+	struct gb_str meaning;
+	struct gb_str a; /* what the numbers mean; empty if unused */
+	struct gb_str b;
+};
+
+const struct ev_row *ev_row(enum ev_code code); /* NULL if unknown */
+const struct ev_row *ev_rows(size_t *len);
+
+struct ev_clock {
+	uint64_t last;
+};
+
+/* Stamps a local or sending event. */
+uint64_t ev_clock_tick(struct ev_clock *clock, int64_t wall_ms);
+
+/* Takes note of the stamp of a received message. */
+uint64_t ev_clock_merge(struct ev_clock *clock, int64_t wall_ms,
+			uint64_t remote);
+
+struct ev_ring; /* keeps copies of the newest events */
+struct ev_ring *ev_ring_new(size_t capacity);
+void ev_ring_add(struct ev_ring *ring, const struct ev_event *event);
+size_t ev_ring_len(const struct ev_ring *ring);
+const struct ev_event *ev_ring_at(const struct ev_ring *ring, size_t index);
+uint64_t ev_ring_dropped(const struct ev_ring *ring);
+void ev_ring_free(struct ev_ring *ring);
+
+/* Conditions on events; an empty string or -1 matches all. */
+struct ev_filter {
+	struct gb_str request;
+	struct gb_str upstream;
+	struct gb_str dc;
+	int64_t vm;
+};
+
+bool ev_filter_match(const struct ev_filter *filter,
+		     const struct ev_event *event);
+
+/* Order by stamp, then by VM; for qsort-like use. */
+int ev_cmp(const struct ev_event *a, const struct ev_event *b);
+
+/* Appends "NAME key=value ..." without a final newline. */
+void ev_text(const struct ev_event *event, struct gb_buf *out);
+
+#endif
--- /dev/null
+++ b/packages/metric/met.h
@@ -0,0 +1,107 @@
+#ifndef MET_H
+#define MET_H
+
+/*
+ * NAME
+ *	met - counters, gauges and histograms of one process
+ *
+ * DESCRIPTION
+ *	All metrics are rows of one table; a metric is named by its enum, so
+ *	that an update is one addition to an array. Histograms have
+ *	logarithmic buckets, 8 per power of two, in microseconds.
+ */
+
+#include "base/gb.h"
+
+enum met_counter {
+	MET_QUERIES,
+	MET_QUERIES_COMPLETE,
+	MET_QUERIES_PARTIAL,
+	MET_QUERIES_REFUSED,
+	MET_QUERIES_LATE,
+	MET_QUERIES_RESTARTED,
+	MET_ORDERS,
+	MET_ORDERS_RUN,
+	MET_ORDERS_REPLAYED,
+	MET_ORDERS_UNKNOWN,
+	MET_ORDERS_REFUSED,
+	MET_SUB_REQUESTS,
+	MET_SUB_HEDGES,
+	MET_SUB_RETRIES,
+	MET_SUB_REFUSED,
+	MET_SUB_CANCELLED,
+	MET_ANSWERS_DROPPED, /* late, crossed, doubled or cut short */
+	MET_UPSTREAM_COLD,
+	MET_LEASES_GAINED,
+	MET_LEASES_LOST,
+	MET_CONFIG_CHANGES,
+	MET_STORE_READS,
+	MET_STORE_WATCHES,
+	MET_STORE_WRITES,
+	MET_PEER_MESSAGES,
+	MET_PEER_BYTES,
+	MET_CONTROL_BYTES,
+	MET_HTTP_REQUESTS,
+	MET_HTTP_BAD,
+	MET_COUNTERS
+};
+
+enum met_gauge {
+	MET_QUERIES_RUNNING,
+	MET_CALLS_RUNNING,
+	MET_UNITS_HELD,
+	MET_CONFIG_VERSION,
+	MET_MEMBERS_LIVE,
+	MET_CONNECTIONS,
+	MET_GAUGES
+};
+
+enum met_histogram {
+	MET_QUERY_TIME,
+	MET_SUB_TIME,
+	MET_QUEUE_WAIT,
+	MET_HISTOGRAMS
+};
+
+#define MET_BUCKETS 256
+
+struct met_hist {
+	uint64_t count;
+	uint64_t sum;
+	uint64_t bucket[MET_BUCKETS];
+};
+
+struct met_registry {
+	uint64_t counter[MET_COUNTERS];
+	int64_t gauge[MET_GAUGES];
+	struct met_hist histogram[MET_HISTOGRAMS];
+};
+
+static inline void met_add(struct met_registry *reg, enum met_counter counter,
+			   uint64_t n)
+{
+	reg->counter[counter] += n;
+}
+
+static inline void met_set(struct met_registry *reg, enum met_gauge gauge,
+			   int64_t value)
+{
+	reg->gauge[gauge] = value;
+}
+
+void met_hist_add(struct met_hist *hist, gb_time value);
+
+/* Upper bound of the bucket that holds the quantile; 0 if empty. */
+gb_time met_hist_quantile(const struct met_hist *hist, double quantile);
+
+/* Halves all buckets, so that old samples lose weight. */
+void met_hist_decay(struct met_hist *hist);
+
+struct gb_str met_counter_name(enum met_counter counter);
+struct gb_str met_gauge_name(enum met_gauge gauge);
+struct gb_str met_histogram_name(enum met_histogram histogram);
+
+/* Appends all metrics in the Prometheus text format. */
+void met_text(const struct met_registry *reg, struct gb_buf *out);
+
+#endif
--- /dev/null
+++ b/packages/msg/msg.c
@@ -0,0 +1,190 @@
+#include "msg/msg.h"
+
+#include <glib.h>
+
+#define NAME(text)                                   \
+	{                                            \
+		.ptr = text, .len = sizeof(text) - 1 \
+	}
+
+/* How to copy and free what the message of one kind owns. */
+struct kind_row {
+	struct gb_str name;
+	void (*own)(struct msg *msg); /* replaces borrowed parts by copies */
+	void (*drop)(struct msg *msg);
+};
+
+static void own_batch(struct msg *msg);
+static void drop_batch(struct msg *msg);
+static void own_result(struct msg *msg);
+static void drop_result(struct msg *msg);
+static void own_vote(struct msg *msg);
+static void drop_vote(struct msg *msg);
+static void own_vote_reply(struct msg *msg);
+static void drop_vote_reply(struct msg *msg);
+static void own_release(struct msg *msg);
+static void drop_release(struct msg *msg);
+static void own_outcome(struct msg *msg);
+static void drop_outcome(struct msg *msg);
+static void own_config(struct msg *msg);
+static void drop_config(struct msg *msg);
+
+static const struct kind_row kinds[MSG_KINDS] = {
+	[MSG_HEARTBEAT] = { .name = NAME("heartbeat") },
+	[MSG_HEARTBEAT_REPLY] = { .name = NAME("heartbeat_reply") },
+	[MSG_BATCH] = { .name = NAME("batch"),
+			.own = own_batch,
+			.drop = drop_batch },
+	[MSG_RESULT] = { .name = NAME("result"),
+			 .own = own_result,
+			 .drop = drop_result },
+	[MSG_CANCEL] = { .name = NAME("cancel") },
+	[MSG_VOTE] = { .name = NAME("vote"),
+		       .own = own_vote,
+		       .drop = drop_vote },
+	[MSG_VOTE_REPLY] = { .name = NAME("vote_reply"),
+			     .own = own_vote_reply,
+			     .drop = drop_vote_reply },
+	[MSG_RELEASE] = { .name = NAME("release"),
+			  .own = own_release,
+			  .drop = drop_release },
+	[MSG_OUTCOME] = { .name = NAME("outcome"),
+			  .own = own_outcome,
+			  .drop = drop_outcome },
+	[MSG_CONFIG_FETCH] = { .name = NAME("config_fetch") },
+	[MSG_CONFIG] = { .name = NAME("config"),
+			 .own = own_config,
+			 .drop = drop_config },
+	[MSG_QUARANTINE] = { .name = NAME("quarantine") },
+};
+
+static const struct gb_str statuses[MSG_STATUSES] = {
+	[MSG_STATUS_OK] = NAME("ok"),
+	[MSG_STATUS_NOT_RUN] = NAME("not_run"),
+	[MSG_STATUS_NOT_OWNER] = NAME("not_owner"),
+	[MSG_STATUS_OVERLOAD] = NAME("overload"),
+	[MSG_STATUS_UNKNOWN] = NAME("unknown"),
+	[MSG_STATUS_DEADLINE] = NAME("deadline"),
+	[MSG_STATUS_SNAPSHOT_GONE] = NAME("snapshot_gone"),
+	[MSG_STATUS_QUARANTINED] = NAME("quarantined"),
+	[MSG_STATUS_FAILED] = NAME("failed"),
+};
+
+static void own_batch(struct msg *msg)
+{
+	struct msg_batch *batch = &msg->batch;
+
+	batch->service = gb_str_dup(batch->service);
+	batch->key = gb_str_dup(batch->key);
+	batch->body = gb_str_dup(batch->body);
+	batch->subs = g_memdup2(batch->subs,
+				batch->subs_len * sizeof(batch->subs[0]));
+}
+
+static void drop_batch(struct msg *msg)
+{
+	gb_str_free(&msg->batch.service);
+	gb_str_free(&msg->batch.key);
+	gb_str_free(&msg->batch.body);
+	g_free(msg->batch.subs);
+}
+
+static void own_result(struct msg *msg)
+{
+	struct msg_result *result = &msg->result;
+
+	result->subs = g_memdup2(result->subs,
+				 result->subs_len * sizeof(result->subs[0]));
+	for (uint32_t i = 0; i < result->subs_len; i++)
+		result->subs[i].body = gb_str_dup(result->subs[i].body);
+}
+
+static void drop_result(struct msg *msg)
+{
+	for (uint32_t i = 0; i < msg->result.subs_len; i++)
+		gb_str_free(&msg->result.subs[i].body);
+	g_free(msg->result.subs);
+}
+
+static void own_vote(struct msg *msg)
+{
+	msg->vote.key = gb_str_dup(msg->vote.key);
+}
+
+static void drop_vote(struct msg *msg)
+{
+	gb_str_free(&msg->vote.key);
+}
+
+static void own_vote_reply(struct msg *msg)
+{
+	msg->vote_reply.key = gb_str_dup(msg->vote_reply.key);
+	msg->vote_reply.outcome = gb_str_dup(msg->vote_reply.outcome);
+}
+
+static void drop_vote_reply(struct msg *msg)
+{
+	gb_str_free(&msg->vote_reply.key);
+	gb_str_free(&msg->vote_reply.outcome);
+}
+
+static void own_release(struct msg *msg)
+{
+	msg->release.key = gb_str_dup(msg->release.key);
+}
+
+static void drop_release(struct msg *msg)
+{
+	gb_str_free(&msg->release.key);
+}
+
+static void own_outcome(struct msg *msg)
+{
+	msg->outcome.key = gb_str_dup(msg->outcome.key);
+	msg->outcome.outcome = gb_str_dup(msg->outcome.outcome);
+}
+
+static void drop_outcome(struct msg *msg)
+{
+	gb_str_free(&msg->outcome.key);
+	gb_str_free(&msg->outcome.outcome);
+}
+
+static void own_config(struct msg *msg)
+{
+	if (msg->config.cfg)
+		cfg_ref(msg->config.cfg);
+}
+
+static void drop_config(struct msg *msg)
+{
+	cfg_unref(msg->config.cfg);
+}
+
+struct msg *msg_copy(const struct msg *msg)
+{
+	struct msg *copy = g_memdup2(msg, sizeof(*msg));
+
+	if (kinds[copy->kind].own)
+		kinds[copy->kind].own(copy);
+	return copy;
+}
+
+void msg_free(struct msg *msg)
+{
+	if (!msg)
+		return;
+	if (kinds[msg->kind].drop)
+		kinds[msg->kind].drop(msg);
+	g_free(msg);
+}
+
+struct gb_str msg_kind_name(enum msg_kind kind)
+{
+	return kind < MSG_KINDS ? kinds[kind].name : GB_STR("unknown");
+}
+
+struct gb_str msg_status_name(enum msg_status status)
+{
+	return status < MSG_STATUSES ? statuses[status] : GB_STR("unknown");
+}
--- /dev/null
+++ b/packages/msg/msg.h
@@ -0,0 +1,220 @@
+#ifndef MSG_H
+#define MSG_H
+
+/*
+ * NAME
+ *	msg - the typed messages between VMs
+ *
+ * DESCRIPTION
+ *	Messages are plain structs without encoding; package wire encodes them
+ *	and the scenario runner passes them on as they are. All are one-way:
+ *	a reply is a message of its own. A message owns its strings and arrays
+ *	once it was made by msg_copy() or by a decoder; msg_free() frees them.
+ *
+ *	Times in messages are durations in microseconds, never points in time,
+ *	since VMs share no monotonic clock.
+ */
+
+#include "base/gb.h"
+#include "config/cfg.h"
+
+#define MSG_UNIT_WORDS (CFG_UNITS / 64)
+
+enum msg_kind {
+	MSG_HEARTBEAT,
+	MSG_HEARTBEAT_REPLY,
+	MSG_BATCH,
+	MSG_RESULT,
+	MSG_CANCEL,
+	MSG_VOTE,
+	MSG_VOTE_REPLY,
+	MSG_RELEASE,
+	MSG_OUTCOME,
+	MSG_CONFIG_FETCH,
+	MSG_CONFIG,
+	MSG_QUARANTINE,
+	MSG_KINDS
+};
+
+/* A bitmap of units. */
+struct msg_units {
+	uint64_t word[MSG_UNIT_WORDS];
+};
+
+struct msg_heartbeat {
+	uint64_t incarnation; /* of the sending process */
+	uint64_t epoch;
+	uint64_t config_version;
+	uint64_t seq;
+	bool ready;   /* may own units */
+	bool leaving; /* shuts down: wants no units */
+	struct msg_units wanted;
+};
+
+struct msg_heartbeat_reply {
+	uint64_t incarnation; /* of the granter */
+	uint64_t epoch;
+	uint64_t config_version;
+	uint64_t seq; /* of the heartbeat answered */
+	bool silent;  /* granter is within its start-up wait */
+	struct msg_units granted;
+	uint64_t live;	/* bitmap by roster index, as the granter sees it */
+	uint64_t ready; /* those of them that may own units */
+};
+
+enum msg_status {
+	MSG_STATUS_OK,
+	MSG_STATUS_NOT_RUN,   /* certain: no upstream saw it */
+	MSG_STATUS_NOT_OWNER, /* as NOT_RUN; the owner has changed */
+	MSG_STATUS_OVERLOAD,  /* as NOT_RUN; the wait passes the deadline */
+	MSG_STATUS_UNKNOWN,   /* an upstream may have run it */
+	MSG_STATUS_DEADLINE,
+	MSG_STATUS_SNAPSHOT_GONE,
+	MSG_STATUS_QUARANTINED,
+	MSG_STATUS_FAILED, /* upstream answered with an error */
+	MSG_STATUSES
+};
+
+/* One sub-request: a shard of the batch's service. */
+struct msg_sub {
+	uint64_t attempt; /* unique to the sending VM and incarnation */
+	uint32_t shard;
+};
+
+struct msg_batch {
+	uint64_t query; /* unique to the sending VM and incarnation */
+	uint64_t config_version;
+	struct gb_str service;
+	uint64_t snapshot;
+	uint64_t fingerprint;
+	gb_time time_left; /* until the deadline, at sending */
+	bool order;	   /* non-idempotent */
+	bool canary;
+	struct gb_str key; /* idempotency key of an order */
+	struct gb_str body;
+	struct msg_sub *subs;
+	uint32_t subs_len;
+};
+
+struct msg_sub_result {
+	uint64_t attempt;
+	uint32_t shard;
+	enum msg_status status;
+	uint64_t snapshot;
+	uint64_t docs; /* documents searched */
+	gb_time wait;  /* in the owner's queue */
+	struct gb_str body;
+};
+
+struct msg_result {
+	uint64_t query;
+	struct msg_sub_result *subs;
+	uint32_t subs_len;
+};
+
+struct msg_cancel {
+	uint64_t query;
+};
+
+/* Identity of one attempt to run an order. */
+struct msg_order_id {
+	uint32_t vm;
+	uint64_t incarnation;
+	uint64_t number;
+};
+
+struct msg_vote {
+	struct gb_str key;
+	int64_t issued_ms; /* wall time, from the key */
+	uint64_t epoch;
+	struct msg_order_id order;
+};
+
+enum msg_vote_status {
+	MSG_VOTE_GRANTED,
+	MSG_VOTE_TAKEN,	    /* by another attempt, without outcome yet */
+	MSG_VOTE_DONE,	    /* by another attempt; outcome is attached */
+	MSG_VOTE_ABSTAINED, /* the voter's memory does not reach back */
+	MSG_VOTE_EPOCH,	    /* other roster epoch */
+	MSG_VOTE_STATUSES
+};
+
+struct msg_vote_reply {
+	struct gb_str key;
+	struct msg_order_id order; /* that asked */
+	enum msg_vote_status status;
+	struct msg_order_id holder; /* for TAKEN and DONE */
+	struct gb_str outcome;	    /* for DONE */
+};
+
+struct msg_release {
+	struct gb_str key;
+	struct msg_order_id order;
+};
+
+struct msg_outcome {
+	struct gb_str key;
+	struct msg_order_id order;
+	struct gb_str outcome;
+};
+
+struct msg_config_fetch {
+	uint64_t have_version;
+};
+
+struct msg_config {
+	struct cfg *cfg; /* NULL when the sender has none */
+};
+
+struct msg_quarantine {
+	uint64_t fingerprint;
+	uint32_t crashes;
+};
+
+struct msg {
+	enum msg_kind kind;
+	uint32_t from; /* VM id */
+	uint64_t hlc;  /* hybrid logical clock of the sender */
+	union {
+		struct msg_heartbeat heartbeat;
+		struct msg_heartbeat_reply heartbeat_reply;
+		struct msg_batch batch;
+		struct msg_result result;
+		struct msg_cancel cancel;
+		struct msg_vote vote;
+		struct msg_vote_reply vote_reply;
+		struct msg_release release;
+		struct msg_outcome outcome;
+		struct msg_config_fetch config_fetch;
+		struct msg_config config;
+		struct msg_quarantine quarantine;
+	};
+};
+
+/* Returns a deep copy on the heap. */
+struct msg *msg_copy(const struct msg *msg);
+
+/* Frees a message made by msg_copy() or a decoder, and msg itself. */
+void msg_free(struct msg *msg);
+
+struct gb_str msg_kind_name(enum msg_kind kind);
+struct gb_str msg_status_name(enum msg_status status);
+
+static inline bool msg_units_has(const struct msg_units *units, uint32_t unit)
+{
+	return units->word[unit / 64] >> (unit % 64) & 1;
+}
+
+static inline void msg_units_set(struct msg_units *units, uint32_t unit)
+{
+	units->word[unit / 64] |= 1ULL << (unit % 64);
+}
+
+static inline bool msg_order_id_eq(const struct msg_order_id *a,
+				   const struct msg_order_id *b)
+{
+	return a->vm == b->vm && a->incarnation == b->incarnation &&
+	       a->number == b->number;
+}
+
+#endif
--- /dev/null
+++ b/packages/node/nd.h
@@ -0,0 +1,224 @@
+#ifndef ND_H
+#define ND_H
+
+/*
+ * NAME
+ *	nd - all decisions of one VM, without any input or output
+ *
+ * DESCRIPTION
+ *	A node composes the aggregates of one VM. Its shell, the daemon or the
+ *	scenario runner, calls an input function with the time of the event
+ *	and carries out what the node asks for through struct nd_ops. The node
+ *	reads no clock, opens no socket and draws random numbers only from a
+ *	seeded generator.
+ *
+ *	Inputs must not be called from within an nd_ops function; a shell that
+ *	completes an operation at once queues the completion instead.
+ *
+ * TIME
+ *	now is the shell's monotonic clock; wall_ms its wall clock in
+ *	milliseconds, used only for the age of order keys and for stamps of
+ *	events.
+ */
+
+#include "base/gb.h"
+#include "config/cfg.h"
+#include "event/ev.h"
+#include "metric/met.h"
+#include "msg/msg.h"
+#include "plan/pln.h"
+
+struct node;
+
+struct nd_clock {
+	gb_time now;
+	int64_t wall_ms;
+};
+
+/* One call to an upstream. Strings are valid during the call only. */
+struct nd_upstream_call {
+	uint64_t call; /* attempt identity, echoed by the upstream */
+	struct gb_str service;
+	uint32_t shard;
+	struct gb_str replica;
+	struct gb_str host;
+	uint16_t port;
+	uint32_t connections; /* most that this VM may open there */
+	uint64_t snapshot;
+	gb_time timeout; /* from now; the upstream must stop by then */
+	gb_time expires; /* not to be sent at or after this time */
+	bool order;
+	struct gb_str key;
+	struct gb_str body;
+};
+
+enum nd_upstream_status {
+	ND_UPSTREAM_OK,
+	ND_UPSTREAM_REFUSED,  /* certain: the upstream did not run it */
+	ND_UPSTREAM_NOT_SENT, /* certain: no byte left this VM */
+	ND_UPSTREAM_RESET,    /* connection lost after sending */
+	ND_UPSTREAM_TIMEOUT,
+	ND_UPSTREAM_GONE,     /* the snapshot is not there any longer */
+	ND_UPSTREAM_MISMATCH, /* the answer belongs to another attempt */
+	ND_UPSTREAM_ERROR     /* the upstream ran it and failed */
+};
+
+struct nd_upstream_result {
+	uint64_t call;
+	enum nd_upstream_status status;
+	uint64_t instance; /* identity of the upstream process; 0 unknown */
+	uint64_t snapshot;
+	uint32_t shard;
+	uint64_t docs;
+	uint32_t load; /* reported by the upstream; a hint */
+	struct gb_str body;
+};
+
+struct nd_request {
+	uint64_t caller;  /* shell's handle; returned in the answer */
+	struct gb_str id; /* request identity */
+	struct gb_str service;
+	struct gb_str body;
+	gb_time deadline; /* duration; 0 takes the service's default */
+	double min_coverage;
+	struct gb_str key; /* orders only */
+};
+
+/* Why documents are missing from an answer. */
+enum nd_degraded {
+	ND_DEGRADED_NONE,
+	ND_DEGRADED_TIMEOUT,
+	ND_DEGRADED_OVERLOAD,
+	ND_DEGRADED_UNAVAILABLE,
+	ND_DEGRADED_SNAPSHOT,
+	ND_DEGRADED_FAILED
+};
+
+struct nd_answer {
+	uint64_t caller;
+	struct gb_str id;
+	enum gb_code code;   /* GB_OK for an answer, else a refusal */
+	gb_time retry_after; /* 0 for none */
+	uint64_t snapshot;
+	uint64_t docs_searched;
+	uint64_t docs_total;
+	enum nd_degraded degraded;
+	gb_time elapsed;
+	uint32_t sub_requests;
+	bool replayed; /* outcome of an earlier run of the same order */
+	/* One body per answered shard, in shard order. */
+	const struct gb_str *bodies;
+	const uint32_t *shards;
+	uint32_t bodies_len;
+};
+
+enum nd_store_status {
+	ND_STORE_OK,
+	ND_STORE_CONFLICT, /* certain: not written */
+	ND_STORE_NOT_FOUND,
+	ND_STORE_UNKNOWN, /* a write may have taken effect */
+	ND_STORE_DOWN
+};
+
+enum nd_store_op { ND_STORE_READ, ND_STORE_WATCH, ND_STORE_WRITE };
+
+struct nd_store_result {
+	uint64_t tag; /* of the request */
+	enum nd_store_op op;
+	enum nd_store_status status;
+	struct cfg *cfg;  /* borrowed; READ and WATCH */
+	uint64_t version; /* WRITE: the new version */
+};
+
+/* Result of an administrative request. */
+struct nd_admin_result {
+	uint64_t caller;
+	enum gb_code code;
+	uint64_t version;
+	const struct pln_plan *plan; /* borrowed; plan requests only */
+};
+
+struct nd_ops {
+	void (*peer_send)(void *ctx, uint32_t vm, const struct msg *msg);
+	void (*upstream_send)(void *ctx, const struct nd_upstream_call *call);
+	void (*upstream_cancel)(void *ctx, uint64_t call);
+	void (*answer)(void *ctx, const struct nd_answer *answer);
+	void (*admin_answer)(void *ctx, const struct nd_admin_result *result);
+	void (*store_read)(void *ctx, uint64_t tag);
+	void (*store_watch)(void *ctx, uint64_t tag, uint64_t after_version);
+	void (*store_write)(void *ctx, uint64_t tag, const struct cfg *cfg,
+			    uint64_t base_version);
+	void (*event)(void *ctx, const struct ev_event *event);
+};
+
+struct nd_settings {
+	uint32_t vm;	      /* id in the roster */
+	struct gb_str dc;     /* data centre of this VM */
+	uint64_t incarnation; /* unique to this process */
+	uint64_t seed;
+	gb_time heartbeat; /* interval */
+	gb_time lease;
+	gb_time drift;	       /* margin for clock drift over one lease */
+	gb_time suspect_after; /* silence until a member counts as dead */
+	gb_time key_retention;
+	gb_time clock_skew;   /* most between two wall clocks */
+	uint32_t queries_max; /* running at once on this VM */
+};
+
+/* Fills the defaults of the design page. */
+void nd_settings_default(struct nd_settings *settings);
+
+struct node *nd_new(const struct nd_settings *settings,
+		    const struct nd_ops *ops, void *ctx,
+		    struct met_registry *metrics, struct nd_clock clock);
+void nd_free(struct node *node);
+
+/* Does what is due; to be called at nd_next_tick() or earlier. */
+void nd_tick(struct node *node, struct nd_clock clock);
+gb_time nd_next_tick(const struct node *node);
+
+void nd_peer_msg(struct node *node, struct nd_clock clock,
+		 const struct msg *msg);
+void nd_lookup(struct node *node, struct nd_clock clock,
+	       const struct nd_request *request);
+void nd_order(struct node *node, struct nd_clock clock,
+	      const struct nd_request *request);
+void nd_caller_gone(struct node *node, struct nd_clock clock, uint64_t caller);
+void nd_upstream_done(struct node *node, struct nd_clock clock,
+		      const struct nd_upstream_result *result);
+void nd_store_done(struct node *node, struct nd_clock clock,
+		   const struct nd_store_result *result);
+
+/* Operators: make a plan, or confirm one against its base version. */
+void nd_plan(struct node *node, struct nd_clock clock, uint64_t caller,
+	     const struct pln_intent *intent);
+void nd_confirm(struct node *node, struct nd_clock clock, uint64_t caller,
+		uint64_t plan, uint64_t base_version,
+		const struct pln_intent *intent);
+
+/* Starts a graceful stop; nd_stopped() tells when all work is done. */
+void nd_shutdown(struct node *node, struct nd_clock clock);
+bool nd_stopped(const struct node *node);
+
+/* Tells whether the platform's balancer may send callers here. */
+bool nd_ready(const struct node *node, struct nd_clock clock);
+
+/* A summary for operators. Arrays are by roster index. */
+struct nd_status {
+	uint32_t vm;
+	uint64_t incarnation;
+	uint64_t config_version;
+	uint64_t epoch;
+	bool ready;
+	bool stopping;
+	uint32_t units_held;
+	uint32_t queries_running;
+	uint32_t calls_running;
+	uint64_t live;
+};
+
+void nd_status(const struct node *node, struct nd_clock clock,
+	       struct nd_status *status);
+struct cfg *nd_config(const struct node *node);
+
+#endif
