--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -161,8 +161,11 @@
 	gb_time drift;	       /* margin for clock drift over one lease */
 	gb_time suspect_after; /* silence until a member counts as dead */
 	gb_time key_retention;
-	gb_time clock_skew;   /* most between two wall clocks */
-	uint32_t queries_max; /* running at once on this VM */
+	gb_time clock_skew;	       /* most between two wall clocks */
+	uint32_t queries_max;	       /* running at once on this VM */
+	uint32_t seed_vm[CFG_VMS_MAX]; /* peers to ask before a roster is known
+					*/
+	uint32_t seeds_len;
 };
 
 /* Fills the defaults of the design page. */
