--- /dev/null
+++ b/packages/daemon/gd-log.c
@@ -0,0 +1,111 @@
+#include "daemon/gd.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <time.h>
+#include <unistd.h>
+
+#define FACILITY_DAEMON 3
+
+/* Lines kept while standard error takes none; more are counted only. */
+#define LOG_BUFFER_MAX (256 * 1024)
+
+/* A pipe that polls as writable takes at least this much at once. */
+#define WRITE_MAX 4096
+
+static void add_time(struct gb_buf *out);
+
+void gd_log_init(struct gd_log *log, struct gb_str host, int severity)
+{
+	log->host = host;
+	log->severity = severity;
+	log->pid = getpid();
+}
+
+/* Appends the wall time as in RFC 5424. */
+static void add_time(struct gb_buf *out)
+{
+	struct timespec now;
+	struct tm tm;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	gmtime_r(&now.tv_sec, &tm);
+	gb_buf_addf(out, "%04d-%02d-%02dT%02d:%02d:%02d.%06ldZ",
+		    tm.tm_year + 1900, tm.tm_mon + 1, tm.tm_mday, tm.tm_hour,
+		    tm.tm_min, tm.tm_sec, now.tv_nsec / 1000);
+}
+
+void gd_log_event(struct gd_log *log, const struct ev_event *event)
+{
+	const struct ev_row *row = ev_row(event->code);
+	int severity = row ? (int)row->severity : EV_DEBUG;
+
+	if (severity > log->severity)
+		return;
+	if (log->buf.len > LOG_BUFFER_MAX) {
+		log->dropped++;
+		return;
+	}
+	gb_buf_addf(&log->buf, "<%d>", FACILITY_DAEMON * 8 + severity);
+	add_time(&log->buf);
+	gb_buf_addf(&log->buf, " %.*s gentianbend[%d]: %d ", (int)log->host.len,
+		    log->host.ptr, log->pid, event->code);
+	ev_text(event, &log->buf);
+	gb_buf_addc(&log->buf, '\n');
+}
+
+void gd_log_flush(struct gd_log *log)
+{
+	struct pollfd ready = { .fd = STDERR_FILENO, .events = POLLOUT };
+	size_t done = 0;
+
+	while (done < log->buf.len) {
+		size_t len = MIN(log->buf.len - done, WRITE_MAX);
+		ssize_t ret;
+
+		if (poll(&ready, 1, 0) <= 0 || !(ready.revents & POLLOUT))
+			break;
+		ret = write(STDERR_FILENO, log->buf.ptr + done, len);
+		if (ret < 0 && errno == EINTR)
+			continue;
+		if (ret < 0)
+			break;
+		done += ret;
+	}
+	if (done == log->buf.len) {
+		gb_buf_reset(&log->buf);
+	} else if (done) {
+		memmove(log->buf.ptr, log->buf.ptr + done, log->buf.len - done);
+		log->buf.len -= done;
+	}
+}
+
+void gd_log_free(struct gd_log *log)
+{
+	gb_buf_free(&log->buf);
+}
+
+void gd_event_take(struct gd *gd, const struct ev_event *event)
+{
+	ev_clock_merge(&gd->clock, gd_clock().wall_ms, event->hlc);
+	ev_ring_add(gd->ring, event);
+	gd_log_event(&gd->log, event);
+}
+
+void gd_event(struct gd *gd, enum ev_code code, struct gb_str request,
+	      struct gb_str upstream, int64_t a, int64_t b)
+{
+	struct ev_event event = {
+		.hlc = ev_clock_tick(&gd->clock, gd_clock().wall_ms),
+		.code = code,
+		.vm = gd->settings.node.vm,
+		.request = request,
+		.upstream = upstream,
+		.dc = gd->settings.node.dc,
+		.a = a,
+		.b = b,
+	};
+
+	ev_ring_add(gd->ring, &event);
+	gd_log_event(&gd->log, &event);
+}
--- /dev/null
+++ b/packages/daemon/gd-platform.c
@@ -0,0 +1,204 @@
+#include "daemon/gd.h"
+
+#define OBJECT_PATH "/objects/gentianbend/config"
+
+/* The object API answers in milliseconds; 2 s means that it is down. */
+#define CALL_TIMEOUT (2 * GB_SEC)
+
+/* Each watch counts as a call, so it waits long. */
+#define WATCH_WAIT_S 30
+
+/* A watch and a read or write at the same time, and one to spare. */
+#define CONNECTIONS_MAX 3
+
+struct gd_store_call {
+	struct gd_exchange x; /* first, so that one is cast to the other */
+	struct gd *gd;
+	struct nd_store_result result;
+	uint64_t version; /* that a watch or a write starts from */
+	struct gb_buf body;
+	uint64_t etag; /* 0 if the answer has none */
+};
+
+static void start(struct gd *gd, enum nd_store_op op, uint64_t tag,
+		  uint64_t version, const struct cfg *cfg);
+static bool store_prepare(struct gd_exchange *x, struct gb_buf *out);
+static void store_header(struct gd_exchange *x, struct gb_str name,
+			 struct gb_str value);
+static void store_done(struct gd_exchange *x, enum gd_outcome outcome);
+static void store_release(struct gd_exchange *x);
+static void store_deliver(struct gd *gd, void *arg);
+static enum nd_store_status status_of(const struct gd_store_call *call,
+				      enum gd_outcome outcome);
+static struct cfg *decode(struct gd_store_call *call);
+
+/* What one HTTP status says of a call. */
+static const struct {
+	int http;
+	enum nd_store_status status;
+} statuses[] = {
+	{ 200, ND_STORE_OK },	     { 304, ND_STORE_OK },
+	{ 404, ND_STORE_NOT_FOUND }, { 412, ND_STORE_CONFLICT },
+	{ 429, ND_STORE_DOWN },	     { 503, ND_STORE_DOWN },
+};
+
+void gd_platform_read(struct gd *gd, uint64_t tag)
+{
+	start(gd, ND_STORE_READ, tag, 0, NULL);
+}
+
+void gd_platform_watch(struct gd *gd, uint64_t tag, uint64_t after)
+{
+	start(gd, ND_STORE_WATCH, tag, after, NULL);
+}
+
+void gd_platform_write(struct gd *gd, uint64_t tag, const struct cfg *cfg,
+		       uint64_t base)
+{
+	start(gd, ND_STORE_WRITE, tag, base, cfg);
+}
+
+static void start(struct gd *gd, enum nd_store_op op, uint64_t tag,
+		  uint64_t version, const struct cfg *cfg)
+{
+	const struct set_settings *settings = &gd->settings;
+	struct gd_store_call *call = g_new0(struct gd_store_call, 1);
+	struct gd_endpoint *endpoint;
+	gb_time timeout = CALL_TIMEOUT;
+
+	call->gd = gd;
+	call->result.op = op;
+	call->result.tag = tag;
+	call->version = version;
+	if (cfg)
+		js_config_encode(cfg, &call->body);
+	endpoint = gd_endpoint(gd, settings->platform_host,
+			       settings->platform_port, CONNECTIONS_MAX);
+	if (!endpoint) {
+		call->result.status = ND_STORE_DOWN;
+		gd_defer(gd, store_deliver, call);
+		return;
+	}
+	call->x.prepare = store_prepare;
+	call->x.header = store_header;
+	call->x.done = store_done;
+	call->x.release = store_release;
+	if (op == ND_STORE_WATCH)
+		timeout += WATCH_WAIT_S * GB_SEC;
+	gd_exchange_start(gd, &call->x, endpoint, timeout, false);
+}
+
+static bool store_prepare(struct gd_exchange *x, struct gb_buf *out)
+{
+	struct gd_store_call *call = (struct gd_store_call *)x;
+	const struct set_settings *settings = &call->gd->settings;
+
+	switch (call->result.op) {
+	case ND_STORE_READ:
+		gb_buf_addf(out, "GET " OBJECT_PATH " HTTP/1.1\r\n");
+		break;
+	case ND_STORE_WATCH:
+		gb_buf_addf(out,
+			    "GET " OBJECT_PATH "?watch=%" PRIu64
+			    "&wait=%d HTTP/1.1\r\n",
+			    call->version, WATCH_WAIT_S);
+		break;
+	case ND_STORE_WRITE:
+		gb_buf_addf(out,
+			    "PUT " OBJECT_PATH " HTTP/1.1\r\n"
+			    "If-Match: \"%" PRIu64 "\"\r\n"
+			    "Content-Type: application/json\r\n"
+			    "Content-Length: %zu\r\n",
+			    call->version, call->body.len);
+		break;
+	}
+	gb_buf_addf(out, "Host: %.*s:%u\r\n\r\n",
+		    (int)settings->platform_host.len,
+		    settings->platform_host.ptr, settings->platform_port);
+	gb_buf_add(out, gb_buf_str(&call->body));
+	return true;
+}
+
+/* Takes the version from the quoted ETag. */
+static void store_header(struct gd_exchange *x, struct gb_str name,
+			 struct gb_str value)
+{
+	struct gd_store_call *call = (struct gd_store_call *)x;
+	int64_t version;
+
+	if (!gb_str_eq(name, GB_STR("etag")) || value.len < 2)
+		return;
+	if (!gb_str_to_int(gb_str_sub(value, 1, value.len - 2), 1, INT64_MAX,
+			   &version))
+		call->etag = version;
+}
+
+static enum nd_store_status status_of(const struct gd_store_call *call,
+				      enum gd_outcome outcome)
+{
+	bool write = call->result.op == ND_STORE_WRITE;
+
+	if (outcome == GD_NOT_SENT)
+		return ND_STORE_DOWN;
+	if (outcome == GD_ANSWERED)
+		for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++)
+			if (statuses[i].http == call->x.status)
+				return statuses[i].status;
+	/* No answer, or one that says nothing of the effect. */
+	return write ? ND_STORE_UNKNOWN : ND_STORE_DOWN;
+}
+
+static void store_done(struct gd_exchange *x, enum gd_outcome outcome)
+{
+	struct gd_store_call *call = (struct gd_store_call *)x;
+
+	call->result.status = status_of(call, outcome);
+}
+
+/* Decodes the object; an answer without version or text is no answer. */
+static struct cfg *decode(struct gd_store_call *call)
+{
+	struct gb_error err = { 0 };
+	struct cfg *cfg;
+
+	if (!call->etag)
+		return NULL;
+	cfg = js_config_decode(gb_buf_str(&call->x.body), &err);
+	if (!cfg) {
+		gd_event(call->gd, EV_CONFIG_REFUSED, GB_STR(""), GB_STR(""),
+			 call->etag, err.code);
+		return NULL;
+	}
+	cfg->version = call->etag;
+	return cfg;
+}
+
+static void store_release(struct gd_exchange *x)
+{
+	struct gd_store_call *call = (struct gd_store_call *)x;
+
+	store_deliver(call->gd, call);
+}
+
+/* Gives the result to the node and frees the call. */
+static void store_deliver(struct gd *gd, void *arg)
+{
+	struct gd_store_call *call = arg;
+	struct nd_store_result *result = &call->result;
+	struct cfg *cfg = NULL;
+
+	if (result->status == ND_STORE_OK && result->op == ND_STORE_WRITE) {
+		result->version = call->etag;
+	} else if (result->status == ND_STORE_OK && call->x.status == 200) {
+		cfg = decode(call);
+		if (!cfg)
+			result->status = ND_STORE_DOWN;
+	}
+	result->cfg = cfg;
+	nd_store_done(gd->node, gd_clock(), result);
+	if (cfg)
+		cfg_unref(cfg);
+	gd_exchange_clear(&call->x);
+	gb_buf_free(&call->body);
+	g_free(call);
+}
