--- /dev/null
+++ b/packages/event/ev-table.c
@@ -0,0 +1,188 @@
+#include "event/ev.h"
+
+#define TEXT(lit)                                    \
+	{                                            \
+		.ptr = (lit), .len = sizeof(lit) - 1 \
+	}
+#define ROW(c, s, n, m, x, y)                                   \
+	{                                                       \
+		.code = (c), .severity = (s), .name = TEXT(n),  \
+		.meaning = TEXT(m), .a = TEXT(x), .b = TEXT(y), \
+	}
+
+/* Ordered by number. */
+static const struct ev_row rows[] = {
+	ROW(EV_START, EV_NOTICE, "start",
+	    "The process has started and listens.", "incarnation", ""),
+	ROW(EV_READY, EV_NOTICE, "ready", "The VM accepts requests.",
+	    "config_version", "units"),
+	ROW(EV_UNREADY, EV_NOTICE, "unready",
+	    "The VM no longer accepts requests.", "config_version", "units"),
+	ROW(EV_STOP_BEGIN, EV_NOTICE, "stop_begin",
+	    "A graceful stop has begun; running work is finished.",
+	    "queries_running", ""),
+	ROW(EV_STOP_END, EV_NOTICE, "stop_end",
+	    "All work is finished and the process ends.", "queries_cut", ""),
+	ROW(EV_CONFIG_TAKEN, EV_NOTICE, "config_taken",
+	    "A newer configuration is in force on this VM.", "config_version",
+	    "from_vm"),
+	ROW(EV_CONFIG_REFUSED, EV_WARNING, "config_refused",
+	    "A configuration was not taken: invalid, or not newer.",
+	    "config_version", "error"),
+	ROW(EV_CONFIG_WRITTEN, EV_NOTICE, "config_written",
+	    "The platform accepted a conditional write.", "config_version",
+	    "plan"),
+	ROW(EV_CONFIG_CONFLICT, EV_NOTICE, "config_conflict",
+	    "The platform refused a write that was made from an older version.",
+	    "base_version", "plan"),
+	ROW(EV_CONFIG_WRITE_UNKNOWN, EV_WARNING, "config_write_unknown",
+	    "The response to a write was lost; the change identity is read back.",
+	    "base_version", "plan"),
+	ROW(EV_STORE_DOWN, EV_WARNING, "store_down",
+	    "The platform does not answer.", "failures", ""),
+	ROW(EV_STORE_UP, EV_NOTICE, "store_up", "The platform answers again.",
+	    "outage_ms", ""),
+	ROW(EV_MEMBER_LIVE, EV_NOTICE, "member_live",
+	    "A VM of the roster is live.", "member", ""),
+	ROW(EV_MEMBER_DEAD, EV_WARNING, "member_dead",
+	    "A VM of the roster has been silent for too long.", "member",
+	    "silent_ms"),
+	ROW(EV_LEASE_GAINED, EV_INFO, "lease_gained",
+	    "This VM gained the leases of units.", "units", "epoch"),
+	ROW(EV_LEASE_LOST, EV_WARNING, "lease_lost",
+	    "Leases of this VM expired without renewal.", "units", "epoch"),
+	ROW(EV_LEASE_RELEASED, EV_INFO, "lease_released",
+	    "This VM gave units back after it finished their work.", "units",
+	    "epoch"),
+	ROW(EV_EPOCH_ACTIVE, EV_NOTICE, "epoch_active",
+	    "A roster epoch is in force on this VM.", "epoch", "granters"),
+	ROW(EV_UPSTREAM_COLD, EV_NOTICE, "upstream_cold",
+	    "An upstream was put at its cold limit.", "limit", "instance"),
+	ROW(EV_UPSTREAM_WARM, EV_INFO, "upstream_warm",
+	    "An upstream is back at its full limit.", "limit", "instance"),
+	ROW(EV_UPSTREAM_OPENED, EV_WARNING, "upstream_opened",
+	    "The circuit breaker of an upstream opened.", "failures",
+	    "retry_ms"),
+	ROW(EV_UPSTREAM_CLOSED, EV_NOTICE, "upstream_closed",
+	    "The circuit breaker of an upstream closed.", "open_ms", ""),
+	ROW(EV_UPSTREAM_MISMATCH, EV_WARNING, "upstream_mismatch",
+	    "An answer named another attempt, shard or snapshot and was dropped.",
+	    "call", "snapshot"),
+	ROW(EV_QUERY_BEGIN, EV_DEBUG, "query_begin", "A lookup was accepted.",
+	    "snapshot", "shards"),
+	ROW(EV_QUERY_END, EV_DEBUG, "query_end", "A lookup was answered.",
+	    "elapsed_us", "coverage_ppm"),
+	ROW(EV_QUERY_REFUSED, EV_INFO, "query_refused", "A lookup was refused.",
+	    "error", "elapsed_us"),
+	ROW(EV_QUERY_RESTARTED, EV_INFO, "query_restarted",
+	    "A lookup started over on a newer snapshot.", "snapshot", "shards"),
+	ROW(EV_QUERY_CANCELLED, EV_DEBUG, "query_cancelled",
+	    "The caller of a lookup disconnected.", "elapsed_us", ""),
+	ROW(EV_SUB_SENT, EV_DEBUG, "sub_sent",
+	    "A sub-request was sent to an upstream.", "call", "shard"),
+	ROW(EV_SUB_DONE, EV_DEBUG, "sub_done", "An upstream call ended.",
+	    "call", "status"),
+	ROW(EV_SUB_HEDGED, EV_DEBUG, "sub_hedged",
+	    "A sub-request was sent to a second replica.", "call", "shard"),
+	ROW(EV_SUB_RETRIED, EV_DEBUG, "sub_retried",
+	    "A sub-request was sent again after a failure.", "call", "shard"),
+	ROW(EV_SUB_REFUSED, EV_DEBUG, "sub_refused",
+	    "The owner refused a sub-request.", "error", "shard"),
+	ROW(EV_ORDER_RUN, EV_INFO, "order_run",
+	    "A majority of granters voted for an order; it is sent once.",
+	    "votes", "epoch"),
+	ROW(EV_ORDER_DONE, EV_INFO, "order_done",
+	    "The outcome of an order is known.", "elapsed_us", "status"),
+	ROW(EV_ORDER_REPLAYED, EV_INFO, "order_replayed",
+	    "The outcome of an earlier run of the same order was returned.",
+	    "elapsed_us", ""),
+	ROW(EV_ORDER_REFUSED, EV_INFO, "order_refused",
+	    "An order was refused; it was not run.", "error", "elapsed_us"),
+	ROW(EV_ORDER_UNKNOWN, EV_WARNING, "order_unknown",
+	    "An order was answered with unknown outcome.", "error",
+	    "elapsed_us"),
+	ROW(EV_SUSPECT_CRASH, EV_WARNING, "suspect_crash",
+	    "An upstream crashed while it ran a request that is not known to be harmless.",
+	    "fingerprint", "crashes"),
+	ROW(EV_SUSPECT_QUARANTINED, EV_ERROR, "suspect_quarantined",
+	    "A request crashed two upstreams; all VMs refuse it.",
+	    "fingerprint", "crashes"),
+	ROW(EV_SUSPECT_CLEARED, EV_INFO, "suspect_cleared",
+	    "A suspected request ran to its end and is no longer suspected.",
+	    "fingerprint", "crashes"),
+	ROW(EV_PLAN_MADE, EV_NOTICE, "plan_made",
+	    "A plan was made for an operator.", "plan", "base_version"),
+	ROW(EV_PLAN_CONFIRMED, EV_NOTICE, "plan_confirmed",
+	    "A plan was confirmed and accepted.", "plan", "config_version"),
+	ROW(EV_PLAN_CONFLICT, EV_NOTICE, "plan_conflict",
+	    "A confirmation was refused: the configuration has changed since the plan was made.",
+	    "plan", "base_version"),
+	ROW(EV_PEER_CONNECTED, EV_INFO, "peer_connected",
+	    "A connection to another VM is open.", "peer", ""),
+	ROW(EV_PEER_LOST, EV_WARNING, "peer_lost",
+	    "A connection to another VM was lost.", "peer", "error"),
+	ROW(EV_PEER_BAD_MESSAGE, EV_WARNING, "peer_bad_message",
+	    "A message from another VM could not be decoded; its connection was closed.",
+	    "peer", "error"),
+	ROW(EV_SETTINGS_BAD, EV_ERROR, "settings_bad",
+	    "The settings file has problems; the process ends.", "problems",
+	    ""),
+	ROW(EV_HTTP_BAD_REQUEST, EV_INFO, "http_bad_request",
+	    "An HTTP request was malformed.", "status", "error"),
+};
+
+#define ROWS (sizeof(rows) / sizeof(rows[0]))
+
+static void add_cell(struct gb_buf *out, struct gb_str text);
+
+const struct ev_row *ev_rows(size_t *len)
+{
+	*len = ROWS;
+	return rows;
+}
+
+const struct ev_row *ev_row(enum ev_code code)
+{
+	for (size_t i = 0; i < ROWS; i++)
+		if (rows[i].code == code)
+			return &rows[i];
+	return NULL;
+}
+
+struct gb_str ev_severity_name(enum ev_severity severity)
+{
+	switch (severity) {
+	case EV_ERROR:
+		return GB_STR("error");
+	case EV_WARNING:
+		return GB_STR("warning");
+	case EV_NOTICE:
+		return GB_STR("notice");
+	case EV_INFO:
+		return GB_STR("info");
+	case EV_DEBUG:
+		return GB_STR("debug");
+	}
+	return GB_STR("");
+}
+
+static void add_cell(struct gb_buf *out, struct gb_str text)
+{
+	gb_buf_addf(out, " %.*s |", (int)text.len, text.ptr);
+}
+
+void ev_catalogue(struct gb_buf *out)
+{
+	gb_buf_add(out, GB_STR("| number | severity | name | meaning | first "
+			       "number | second number |\n"
+			       "| --- | --- | --- | --- | --- | --- |\n"));
+	for (size_t i = 0; i < ROWS; i++) {
+		gb_buf_addf(out, "| %d |", rows[i].code);
+		add_cell(out, ev_severity_name(rows[i].severity));
+		add_cell(out, rows[i].name);
+		add_cell(out, rows[i].meaning);
+		add_cell(out, rows[i].a);
+		add_cell(out, rows[i].b);
+		gb_buf_addc(out, '\n');
+	}
+}
--- /dev/null
+++ b/packages/event/ev-text.c
@@ -0,0 +1,97 @@
+#include "event/ev.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+static bool plain(struct gb_str s);
+static void add_text(struct gb_buf *out, struct gb_str key,
+		     struct gb_str value);
+static void add_number(struct gb_buf *out, struct gb_str key, int64_t value);
+static bool accepts(struct gb_str wanted, struct gb_str value);
+
+bool ev_filter_match(const struct ev_filter *filter,
+		     const struct ev_event *event)
+{
+	return accepts(filter->request, event->request) &&
+	       accepts(filter->upstream, event->upstream) &&
+	       accepts(filter->dc, event->dc) &&
+	       (filter->vm == -1 || filter->vm == event->vm);
+}
+
+static bool accepts(struct gb_str wanted, struct gb_str value)
+{
+	return !wanted.len || gb_str_eq(wanted, value);
+}
+
+int ev_cmp(const struct ev_event *a, const struct ev_event *b)
+{
+	if (a->hlc != b->hlc)
+		return a->hlc < b->hlc ? -1 : 1;
+	return a->vm < b->vm ? -1 : a->vm > b->vm;
+}
+
+/* Tells whether s may stand in a line without quotes. */
+static bool plain(struct gb_str s)
+{
+	for (size_t i = 0; i < s.len; i++)
+		if (!g_ascii_isalnum(s.ptr[i]) &&
+		    (!s.ptr[i] || !strchr("._:/@+-", s.ptr[i])))
+			return false;
+	return s.len > 0;
+}
+
+/*
+ * Appends a value in quotes. Bytes outside of printable ASCII are escaped, so
+ * that a request identity cannot start a line or reach a terminal as control.
+ */
+void ev_quote(struct gb_str value, struct gb_buf *out)
+{
+	gb_buf_addc(out, '"');
+	for (size_t i = 0; i < value.len; i++) {
+		unsigned char c = value.ptr[i];
+
+		if (c == '"' || c == '\\')
+			gb_buf_addf(out, "\\%c", c);
+		else if (g_ascii_isprint(c))
+			gb_buf_addc(out, c);
+		else
+			gb_buf_addf(out, "\\x%02x", c);
+	}
+	gb_buf_addc(out, '"');
+}
+
+static void add_text(struct gb_buf *out, struct gb_str key, struct gb_str value)
+{
+	if (!value.len)
+		return;
+	gb_buf_addf(out, " %.*s=", (int)key.len, key.ptr);
+	if (plain(value))
+		gb_buf_add(out, value);
+	else
+		ev_quote(value, out);
+}
+
+static void add_number(struct gb_buf *out, struct gb_str key, int64_t value)
+{
+	if (key.len)
+		gb_buf_addf(out, " %.*s=%" PRId64, (int)key.len, key.ptr,
+			    value);
+}
+
+void ev_text(const struct ev_event *event, struct gb_buf *out)
+{
+	const struct ev_row *row = ev_row(event->code);
+	struct gb_str severity = ev_severity_name(row ? row->severity : 0);
+
+	gb_buf_add(out, row ? row->name : GB_STR("unknown"));
+	gb_buf_addf(out, " event=%d", event->code);
+	add_text(out, GB_STR("severity"), severity);
+	gb_buf_addf(out, " hlc=%" PRIu64 ".%u vm=%" PRIu32, event->hlc >> 16,
+		    (unsigned int)(event->hlc & 0xffff), event->vm);
+	add_text(out, GB_STR("request"), event->request);
+	add_text(out, GB_STR("upstream"), event->upstream);
+	add_text(out, GB_STR("dc"), event->dc);
+	add_number(out, row ? row->a : GB_STR("a"), event->a);
+	add_number(out, row ? row->b : GB_STR("b"), event->b);
+}
--- a/packages/event/ev.h
+++ b/packages/event/ev.h
@@ -96,12 +96,16 @@
 	enum ev_severity severity;
 	struct gb_str name;
 	struct gb_str meaning;
-	struct gb_str a; /* what the numbers mean; empty if unused */
+	struct gb_str a; /* keys of the numbers in ev_text(); empty if unused */
 	struct gb_str b;
 };
 
 const struct ev_row *ev_row(enum ev_code code); /* NULL if unknown */
 const struct ev_row *ev_rows(size_t *len);
+struct gb_str ev_severity_name(enum ev_severity severity);
+
+/* Appends the catalogue as the table of docs/events.md. */
+void ev_catalogue(struct gb_buf *out);
 
 struct ev_clock {
 	uint64_t last;
@@ -139,4 +143,7 @@
 /* Appends "NAME key=value ..." without a final newline. */
 void ev_text(const struct ev_event *event, struct gb_buf *out);
 
+/* Appends value in quotes, with everything but printable ASCII escaped. */
+void ev_quote(struct gb_str value, struct gb_buf *out);
+
 #endif
--- a/packages/metric/met.h
+++ b/packages/metric/met.h
@@ -91,6 +91,9 @@
 
 void met_hist_add(struct met_hist *hist, gb_time value);
 
+/* Inclusive upper bound of a bucket; the last bucket also takes the rest. */
+gb_time met_hist_bound(unsigned int bucket);
+
 /* Upper bound of the bucket that holds the quantile; 0 if empty. */
 gb_time met_hist_quantile(const struct met_hist *hist, double quantile);
 
