--- a/packages/event/ev-clock.c
+++ b/packages/event/ev-clock.c
@@ -37,8 +37,9 @@
 uint64_t ev_clock_merge(struct ev_clock *clock, int64_t wall_ms,
 			uint64_t remote)
 {
-	if (remote <= clock->last ||
-	    remote > wall_stamp(wall_ms + AHEAD_MAX_MS + 1) - 1)
+	int64_t ahead_ms = (wall_ms > 0 ? wall_ms : 0) + AHEAD_MAX_MS;
+
+	if (remote <= clock->last || remote >= wall_stamp(ahead_ms + 1))
 		return ev_clock_tick(clock, wall_ms);
 	return advance(clock, wall_ms, remote);
 }
