Carry the caller's request identity in batches

Events of an owner VM must be found by the caller's request identity in the time line; the query number alone is known to its entry VM only.

--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -74,6 +74,7 @@
 {
 	struct msg_batch *batch = &msg->batch;
 
+	batch->request = gb_str_dup(batch->request);
 	batch->service = gb_str_dup(batch->service);
 	batch->key = gb_str_dup(batch->key);
 	batch->body = gb_str_dup(batch->body);
@@ -83,6 +84,7 @@
 
 static void drop_batch(struct msg *msg)
 {
+	gb_str_free(&msg->batch.request);
 	gb_str_free(&msg->batch.service);
 	gb_str_free(&msg->batch.key);
 	gb_str_free(&msg->batch.body);
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -84,6 +84,7 @@
 struct msg_batch {
 	uint64_t query; /* unique to the sending VM and incarnation */
 	uint64_t config_version;
+	struct gb_str request; /* the caller's request identity, for events */
 	struct gb_str service;
 	uint64_t snapshot;
 	uint64_t fingerprint;
