--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -30,7 +30,7 @@
 struct cfg_dc {
 	struct gb_str name;
 	struct gb_str region;
-	bool out;	     /* taken out by an operator */
+	bool out; /* taken out by an operator */
 	gb_time returned_ms; /* wall time of the last return, for the ramp */
 };
 
@@ -72,24 +72,24 @@
 
 struct cfg_service {
 	struct gb_str name;
-	struct gb_str policy;	 /* "latency" or "coverage" */
-	uint32_t priority;	 /* 0 is served first */
+	struct gb_str policy; /* "latency" or "coverage" */
+	uint32_t priority; /* 0 is served first */
 	uint32_t hedge_permille; /* extra sub-requests, per thousand */
-	gb_time deadline;	 /* default when the caller names none */
-	bool canary;		 /* try an unknown request on one shard first */
+	gb_time deadline; /* default when the caller names none */
+	bool canary; /* try an unknown request on one shard first */
 	struct cfg_limits limits;
-	GArray *shards;	   /* of struct cfg_shard */
+	GArray *shards; /* of struct cfg_shard */
 	GArray *snapshots; /* of struct cfg_snapshot, newest last */
 };
 
 struct cfg {
 	gint refs;
 	uint64_t version;
-	uint64_t epoch;	  /* of the roster */
-	GArray *dcs;	  /* of struct cfg_dc */
-	GArray *vms;	  /* of struct cfg_vm, ordered by id */
+	uint64_t epoch; /* of the roster */
+	GArray *dcs; /* of struct cfg_dc */
+	GArray *vms; /* of struct cfg_vm, ordered by id */
 	GArray *services; /* of struct cfg_service */
-	GArray *changes;  /* of uint64_t, identities of the last changes */
+	GArray *changes; /* of uint64_t, identities of the last changes */
 };
 
 struct cfg *cfg_new(void);
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -46,7 +46,7 @@
 	uint64_t epoch;
 	uint64_t config_version;
 	uint64_t seq;
-	bool ready;   /* may own units */
+	bool ready; /* may own units */
 	bool leaving; /* shuts down: wants no units */
 	struct msg_units wanted;
 };
@@ -56,18 +56,18 @@
 	uint64_t epoch;
 	uint64_t config_version;
 	uint64_t seq; /* of the heartbeat answered */
-	bool silent;  /* granter is within its start-up wait */
+	bool silent; /* granter is within its start-up wait */
 	struct msg_units granted;
-	uint64_t live;	/* bitmap by roster index, as the granter sees it */
+	uint64_t live; /* bitmap by roster index, as the granter sees it */
 	uint64_t ready; /* those of them that may own units */
 };
 
 enum msg_status {
 	MSG_STATUS_OK,
-	MSG_STATUS_NOT_RUN,   /* certain: no upstream saw it */
+	MSG_STATUS_NOT_RUN, /* certain: no upstream saw it */
 	MSG_STATUS_NOT_OWNER, /* as NOT_RUN; the owner has changed */
-	MSG_STATUS_OVERLOAD,  /* as NOT_RUN; the wait passes the deadline */
-	MSG_STATUS_UNKNOWN,   /* an upstream may have run it */
+	MSG_STATUS_OVERLOAD, /* as NOT_RUN; the wait passes the deadline */
+	MSG_STATUS_UNKNOWN, /* an upstream may have run it */
 	MSG_STATUS_DEADLINE,
 	MSG_STATUS_SNAPSHOT_GONE,
 	MSG_STATUS_QUARANTINED,
@@ -89,7 +89,7 @@
 	uint64_t snapshot;
 	uint64_t fingerprint;
 	gb_time time_left; /* until the deadline, at sending */
-	bool order;	   /* non-idempotent */
+	bool order; /* non-idempotent */
 	bool canary;
 	struct gb_str key; /* idempotency key of an order */
 	struct gb_str body;
@@ -103,7 +103,7 @@
 	enum msg_status status;
 	uint64_t snapshot;
 	uint64_t docs; /* documents searched */
-	gb_time wait;  /* in the owner's queue */
+	gb_time wait; /* in the owner's queue */
 	struct gb_str body;
 };
 
@@ -133,10 +133,10 @@
 
 enum msg_vote_status {
 	MSG_VOTE_GRANTED,
-	MSG_VOTE_TAKEN,	    /* by another attempt, without outcome yet */
-	MSG_VOTE_DONE,	    /* by another attempt; outcome is attached */
+	MSG_VOTE_TAKEN, /* by another attempt, without outcome yet */
+	MSG_VOTE_DONE, /* by another attempt; outcome is attached */
 	MSG_VOTE_ABSTAINED, /* the voter's memory does not reach back */
-	MSG_VOTE_EPOCH,	    /* other roster epoch */
+	MSG_VOTE_EPOCH, /* other roster epoch */
 	MSG_VOTE_STATUSES
 };
 
@@ -145,7 +145,7 @@
 	struct msg_order_id order; /* that asked */
 	enum msg_vote_status status;
 	struct msg_order_id holder; /* for TAKEN and DONE */
-	struct gb_str outcome;	    /* for DONE */
+	struct gb_str outcome; /* for DONE */
 };
 
 struct msg_release {
@@ -175,7 +175,7 @@
 struct msg {
 	enum msg_kind kind;
 	uint32_t from; /* VM id */
-	uint64_t hlc;  /* hybrid logical clock of the sender */
+	uint64_t hlc; /* hybrid logical clock of the sender */
 	union {
 		struct msg_heartbeat heartbeat;
 		struct msg_heartbeat_reply heartbeat_reply;
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -54,13 +54,13 @@
 
 enum nd_upstream_status {
 	ND_UPSTREAM_OK,
-	ND_UPSTREAM_REFUSED,  /* certain: the upstream did not run it */
+	ND_UPSTREAM_REFUSED, /* certain: the upstream did not run it */
 	ND_UPSTREAM_NOT_SENT, /* certain: no byte left this VM */
-	ND_UPSTREAM_RESET,    /* connection lost after sending */
+	ND_UPSTREAM_RESET, /* connection lost after sending */
 	ND_UPSTREAM_TIMEOUT,
-	ND_UPSTREAM_GONE,     /* the snapshot is not there any longer */
+	ND_UPSTREAM_GONE, /* the snapshot is not there any longer */
 	ND_UPSTREAM_MISMATCH, /* the answer belongs to another attempt */
-	ND_UPSTREAM_ERROR     /* the upstream ran it and failed */
+	ND_UPSTREAM_ERROR /* the upstream ran it and failed */
 };
 
 struct nd_upstream_result {
@@ -75,7 +75,7 @@
 };
 
 struct nd_request {
-	uint64_t caller;  /* shell's handle; returned in the answer */
+	uint64_t caller; /* shell's handle; returned in the answer */
 	struct gb_str id; /* request identity */
 	struct gb_str service;
 	struct gb_str body;
@@ -97,7 +97,7 @@
 struct nd_answer {
 	uint64_t caller;
 	struct gb_str id;
-	enum gb_code code;   /* GB_OK for an answer, else a refusal */
+	enum gb_code code; /* GB_OK for an answer, else a refusal */
 	gb_time retry_after; /* 0 for none */
 	uint64_t snapshot;
 	uint64_t docs_searched;
@@ -126,7 +126,7 @@
 	uint64_t tag; /* of the request */
 	enum nd_store_op op;
 	enum nd_store_status status;
-	struct cfg *cfg;  /* borrowed; READ and WATCH */
+	struct cfg *cfg; /* borrowed; READ and WATCH */
 	uint64_t version; /* WRITE: the new version */
 };
 
@@ -152,17 +152,17 @@
 };
 
 struct nd_settings {
-	uint32_t vm;	      /* id in the roster */
-	struct gb_str dc;     /* data centre of this VM */
+	uint32_t vm; /* id in the roster */
+	struct gb_str dc; /* data centre of this VM */
 	uint64_t incarnation; /* unique to this process */
 	uint64_t seed;
 	gb_time heartbeat; /* interval */
 	gb_time lease;
-	gb_time drift;	       /* margin for clock drift over one lease */
+	gb_time drift; /* margin for clock drift over one lease */
 	gb_time suspect_after; /* silence until a member counts as dead */
 	gb_time key_retention;
-	gb_time clock_skew;	       /* most between two wall clocks */
-	uint32_t queries_max;	       /* running at once on this VM */
+	gb_time clock_skew; /* most between two wall clocks */
+	uint32_t queries_max; /* running at once on this VM */
 	uint32_t seed_vm[CFG_VMS_MAX]; /* peers to ask before a roster is known
 					*/
 	uint32_t seeds_len;
--- a/packages/once/once.h
+++ b/packages/once/once.h
@@ -56,9 +56,9 @@
 size_t once_voter_len(const struct once_voter *voter);
 
 enum once_verdict {
-	ONCE_WAIT,    /* more votes may come */
-	ONCE_RUN,     /* returned once: run the order now */
-	ONCE_REPLAY,  /* another attempt finished; its outcome is known */
+	ONCE_WAIT, /* more votes may come */
+	ONCE_RUN, /* returned once: run the order now */
+	ONCE_REPLAY, /* another attempt finished; its outcome is known */
 	ONCE_NOT_RUN, /* certain: no attempt of this key ran or will run by
 			 this attempt */
 	ONCE_UNKNOWN, /* another attempt may have run */
--- a/packages/plan/pln.h
+++ b/packages/plan/pln.h
@@ -35,10 +35,10 @@
 struct pln_intent {
 	enum pln_kind kind;
 	struct gb_str target; /* data centre, upstream, service or VM */
-	struct gb_str field;  /* LIMIT_SET: name of the limit */
-	uint64_t value;	      /* LIMIT_SET: new value; VM_ADD: VM id */
-	struct cfg *part;     /* SERVICE_CREATE, SNAPSHOT_PUBLISH, VM_ADD: new
-				 elements; borrowed */
+	struct gb_str field; /* LIMIT_SET: name of the limit */
+	uint64_t value; /* LIMIT_SET: new value; VM_ADD: VM id */
+	struct cfg *part; /* SERVICE_CREATE, SNAPSHOT_PUBLISH, VM_ADD: new
+			     elements; borrowed */
 };
 
 struct pln_shard_effect {
--- a/packages/policy/pol.h
+++ b/packages/policy/pol.h
@@ -23,8 +23,8 @@
 };
 
 void pol_budget_init(struct pol_budget *budget, uint32_t permille);
-void pol_budget_request(struct pol_budget *budget);	  /* a first attempt */
-bool pol_budget_take(struct pol_budget *budget);	  /* an extra attempt */
+void pol_budget_request(struct pol_budget *budget); /* a first attempt */
+bool pol_budget_take(struct pol_budget *budget); /* an extra attempt */
 double pol_budget_level(const struct pol_budget *budget); /* 0 to 1 */
 
 struct pol_view {
--- a/packages/query/qry.h
+++ b/packages/query/qry.h
@@ -37,7 +37,7 @@
 
 enum qry_shard_state {
 	QRY_SHARD_IDLE, /* waits for the canary */
-	QRY_SHARD_DUE,	/* to be sent at due */
+	QRY_SHARD_DUE, /* to be sent at due */
 	QRY_SHARD_SENT,
 	QRY_SHARD_OK,
 	QRY_SHARD_LOST /* given up; why says the reason */
@@ -71,7 +71,7 @@
 struct qry_query {
 	uint64_t number; /* unique to VM and incarnation */
 	uint64_t caller;
-	struct gb_str id;   /* owned */
+	struct gb_str id; /* owned */
 	struct gb_str body; /* owned */
 	uint64_t fingerprint;
 	struct cfg *cfg; /* referenced: the pinned configuration */
@@ -86,8 +86,11 @@
 	bool restarted;
 	bool ended;
 	uint32_t shards_len;
-	uint32_t open;	  /* shards without a final state */
-	uint32_t sends;	  /* sub-requests sent, re-sends included */
+	uint32_t open; /* shards without a final state */
+	uint32_t due; /* shards in state QRY_SHARD_DUE */
+	uint64_t docs; /* searched so far */
+	uint64_t docs_total; /* of the pinned snapshot */
+	uint32_t sends; /* sub-requests sent, re-sends included */
 	gb_time wait_max; /* longest wait in an owner's queue */
 	gb_time next_tick;
 	struct qry_shard *shards;
--- a/packages/quorum/quo.h
+++ b/packages/quorum/quo.h
@@ -38,7 +38,7 @@
 	uint64_t seq;
 	uint64_t epoch; /* last epoch heard of from it */
 	uint64_t config_version;
-	gb_time heard;	 /* 0 for never */
+	gb_time heard; /* 0 for never */
 	gb_time adopted; /* when it was first heard at its epoch */
 	bool ready;
 	bool leaving;
@@ -102,7 +102,7 @@
 	uint64_t seq;
 	struct msg_units wanted;
 	uint64_t wanted_since[CFG_UNITS]; /* sequence number */
-	gb_time sent[QUO_SENT_MAX];	  /* by sequence modulo QUO_SENT_MAX */
+	gb_time sent[QUO_SENT_MAX]; /* by sequence modulo QUO_SENT_MAX */
 	uint32_t granter_vm[CFG_GRANTERS_MAX];
 	gb_time expires[CFG_GRANTERS_MAX][CFG_UNITS];
 	uint32_t granters;
--- a/packages/settings/set.h
+++ b/packages/settings/set.h
@@ -22,15 +22,15 @@
 
 struct set_settings {
 	struct nd_settings node; /* incarnation and seed come from the shell */
-	struct gb_str name;	 /* of this VM */
-	struct gb_str role;	 /* "entry" */
-	struct gb_str host;	 /* address to listen on */
+	struct gb_str name; /* of this VM */
+	struct gb_str role; /* "entry" */
+	struct gb_str host; /* address to listen on */
 	uint16_t peer_port;
 	uint16_t http_port;
 	struct gb_str platform_host;
 	uint16_t platform_port;
 	struct set_peer seeds[CFG_VMS_MAX]; /* node.seed_vm has their ids */
-	size_t body_max;		    /* bytes of a request body */
+	size_t body_max; /* bytes of a request body */
 	uint32_t http_connections_max;
 	gb_time http_idle; /* until an idle connection is closed */
 	size_t events_kept;
--- a/packages/suspect/sus.h
+++ b/packages/suspect/sus.h
@@ -27,7 +27,7 @@
 	SUS_CANARY, /* its canary is running */
 	SUS_GOOD,
 	SUS_SUSPECT, /* to be tried alone */
-	SUS_ALONE,   /* is being tried alone */
+	SUS_ALONE, /* is being tried alone */
 	SUS_QUARANTINED
 };
 
--- a/packages/upstream/up.h
+++ b/packages/upstream/up.h
@@ -27,7 +27,7 @@
 enum up_outcome {
 	UP_OK,
 	UP_REFUSED, /* shed by the upstream, not run */
-	UP_RESET,   /* connection refused or lost */
+	UP_RESET, /* connection refused or lost */
 	UP_TIMEOUT,
 	UP_ERROR, /* ran and failed; says nothing about load */
 	UP_CANCELLED,
@@ -41,14 +41,14 @@
 	uint32_t in_flight;
 	uint32_t successes; /* since the current step of the ramp */
 	gb_time ramp_start;
-	uint32_t step;	    /* slots allowed while ramping */
-	uint32_t failures;  /* consecutive */
+	uint32_t step; /* slots allowed while ramping */
+	uint32_t failures; /* consecutive */
 	gb_time open_until; /* circuit breaker; 0 when closed */
-	gb_time pause;	    /* of the breaker, doubles */
-	double time_mean;   /* of successes, in microseconds */
+	gb_time pause; /* of the breaker, doubles */
+	double time_mean; /* of successes, in microseconds */
 	uint32_t reported_load;
 	bool exclusive; /* in use by one suspect request alone */
-	bool closed;	/* drained or its data centre is out: no new work */
+	bool closed; /* drained or its data centre is out: no new work */
 };
 
 void up_init(struct up_upstream *up, const struct cfg_limits *limits);
--- a/tests/script/scr.h
+++ b/tests/script/scr.h
@@ -32,7 +32,7 @@
 };
 
 struct scr_suite {
-	const char *name;   /* of the package */
+	const char *name; /* of the package */
 	const char *folder; /* of the scripts, from the top of the project */
 	const struct scr_command *commands;
 	size_t commands_len;
