--- /dev/null
+++ b/packages/settings/set-address.h
@@ -0,0 +1,18 @@
+#ifndef SET_ADDRESS_H
+#define SET_ADDRESS_H
+
+/*
+ * NAME
+ *	set-address - check of IP numbers, within the package
+ *
+ * DESCRIPTION
+ *	Apart from set.h, since sys/socket.h and msg/msg.h both declare
+ *	MSG_BATCH.
+ */
+
+#include "base/gb.h"
+
+/* Tells whether host is an IPv4 or IPv6 address written as numbers. */
+bool set_is_address(struct gb_str host);
+
+#endif
--- /dev/null
+++ b/packages/settings/tests/settings-test.c
@@ -0,0 +1,192 @@
+#include "settings/set.h"
+#include "script/scr.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+struct ctx {
+	struct gb_buf text;
+};
+
+static void *open_ctx(void);
+static void close_ctx(void *data);
+static void print_settings(const struct set_settings *set, struct gb_buf *out);
+static void cmd_line(void *data, const struct scr_args *args,
+		     struct gb_buf *out);
+static void cmd_byte(void *data, const struct scr_args *args,
+		     struct gb_buf *out);
+static void cmd_basis(void *data, const struct scr_args *args,
+		      struct gb_buf *out);
+static void cmd_read(void *data, const struct scr_args *args,
+		     struct gb_buf *out);
+static void cmd_file(void *data, const struct scr_args *args,
+		     struct gb_buf *out);
+static void cmd_help(void *data, const struct scr_args *args,
+		     struct gb_buf *out);
+static void cmd_manual(void *data, const struct scr_args *args,
+		       struct gb_buf *out);
+
+static const struct scr_command commands[] = {
+	{ .name = { "line", 4 }, .run = cmd_line },
+	{ .name = { "byte", 4 }, .run = cmd_byte },
+	{ .name = { "basis", 5 }, .run = cmd_basis },
+	{ .name = { "read", 4 }, .run = cmd_read },
+	{ .name = { "file", 4 }, .run = cmd_file },
+	{ .name = { "help", 4 }, .run = cmd_help },
+	{ .name = { "manual", 6 }, .run = cmd_manual },
+};
+
+static void *open_ctx(void)
+{
+	return g_new0(struct ctx, 1);
+}
+
+static void close_ctx(void *data)
+{
+	struct ctx *ctx = data;
+
+	gb_buf_free(&ctx->text);
+	g_free(ctx);
+}
+
+/* Adds a line, the words joined by single spaces. */
+static void cmd_line(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)out;
+	for (size_t i = 0; i < args->len; i++) {
+		if (i)
+			gb_buf_addc(&ctx->text, ' ');
+		gb_buf_add(&ctx->text, args->word[i]);
+	}
+	gb_buf_addc(&ctx->text, '\n');
+}
+
+/* Adds one byte a number of times. */
+static void cmd_byte(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)out;
+	for (int64_t i = scr_int(args, GB_STR("times"), 1); i > 0; i--)
+		gb_buf_addc(&ctx->text, scr_int(args, GB_STR("code"), 0));
+}
+
+/* Adds all required options; they take 7 lines. */
+static void cmd_basis(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	(void)out;
+	gb_buf_add(&ctx->text, GB_STR("[vm]\nid = 2\ndc = dc-b\n"
+				      "host = 127.0.0.1\n[platform]\n"
+				      "host = ::1\nport = 7001\n"));
+}
+
+static void print_settings(const struct set_settings *set, struct gb_buf *out)
+{
+	gb_buf_addf(out, "vm %" PRIu32 " %.*s dc %.*s role %.*s\n",
+		    set->node.vm, (int)set->name.len, set->name.ptr,
+		    (int)set->node.dc.len, set->node.dc.ptr, (int)set->role.len,
+		    set->role.ptr);
+	gb_buf_addf(out, "listen %.*s %d %d platform %.*s %d\n",
+		    (int)set->host.len, set->host.ptr, set->peer_port,
+		    set->http_port, (int)set->platform_host.len,
+		    set->platform_host.ptr, set->platform_port);
+	for (uint32_t i = 0; i < set->node.seeds_len; i++)
+		gb_buf_addf(out, "seed %" PRIu32 " %" PRIu32 " %.*s %d\n",
+			    set->node.seed_vm[i], set->seeds[i].vm,
+			    (int)set->seeds[i].host.len, set->seeds[i].host.ptr,
+			    set->seeds[i].port);
+	gb_buf_addf(out, "heartbeat %lld lease %lld drift %lld suspect %lld\n",
+		    (long long)set->node.heartbeat, (long long)set->node.lease,
+		    (long long)set->node.drift,
+		    (long long)set->node.suspect_after);
+	gb_buf_addf(out, "retention %lld skew %lld queries %" PRIu32 "\n",
+		    (long long)set->node.key_retention,
+		    (long long)set->node.clock_skew, set->node.queries_max);
+	gb_buf_addf(out, "body %zu connections %" PRIu32 " idle %lld\n",
+		    set->body_max, set->http_connections_max,
+		    (long long)set->http_idle);
+	gb_buf_addf(out, "severity %d events %zu\n", set->log_severity,
+		    set->events_kept);
+}
+
+/* Reads the text so far and starts a new one. */
+static void cmd_read(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	struct set_settings settings;
+	struct set_problems problems;
+
+	(void)args;
+	if (set_read(gb_buf_str(&ctx->text), &settings, &problems))
+		set_problems_text(&problems, GB_STR("t.ini"), out);
+	else
+		print_settings(&settings, out);
+	set_problems_free(&problems);
+	set_free(&settings);
+	gb_buf_reset(&ctx->text);
+}
+
+static void cmd_file(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct set_settings settings;
+	struct set_problems problems;
+
+	(void)data;
+	set_read_file(scr_word(args, 0), &settings, &problems);
+	set_problems_text(&problems, scr_word(args, 0), out);
+	set_problems_free(&problems);
+	set_free(&settings);
+}
+
+static void cmd_help(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	(void)data;
+	(void)args;
+	set_help(out);
+}
+
+/* Compares the options part of the manual page with the table. */
+static void cmd_manual(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct gb_buf want = GB_BUF_INIT;
+	char *path = gb_str_to_c(scr_word(args, 0));
+	gchar *page = NULL;
+
+	(void)data;
+	set_manual(&want);
+	if (!g_file_get_contents(path, &page, NULL, NULL))
+		gb_buf_add(out, GB_STR("no page\n"));
+	else
+		gb_buf_addf(out, "%s\n",
+			    strstr(page, want.ptr) ? "equal" : "different");
+	g_free(page);
+	g_free(path);
+	gb_buf_free(&want);
+}
+
+int main(int argc, char **argv)
+{
+	const struct scr_suite suite = {
+		.name = "settings",
+		.folder = "packages/settings/tests",
+		.commands = commands,
+		.commands_len = G_N_ELEMENTS(commands),
+		.open = open_ctx,
+		.close = close_ctx,
+	};
+
+	return scr_main(argc, argv, &suite);
+}
