--- /dev/null
+++ b/packages/ctl/ctl-http.h
@@ -0,0 +1,41 @@
+#ifndef CTL_HTTP_H
+#define CTL_HTTP_H
+
+/*
+ * NAME
+ *	ctl-http - HTTP requests to several servers on one loop
+ *
+ * DESCRIPTION
+ *	ctl_http_run() starts all calls at once and returns when each has
+ *	ended or the time is over. A call whose reach is CTL_NOT_SENT
+ *	certainly had no effect; one with CTL_NO_ANSWER may have had one.
+ *
+ *	This header includes nothing that declares messages, since
+ *	sys/socket.h and msg/msg.h both declare MSG_BATCH.
+ */
+
+#include "base/gb.h"
+
+struct ctl_server {
+	struct gb_str host; /* IP number */
+	uint16_t port;
+};
+
+enum ctl_reach { CTL_NOT_SENT, CTL_NO_ANSWER, CTL_ANSWERED };
+
+struct ctl_call {
+	struct ctl_server server;
+	struct gb_str method;
+	struct gb_str path;
+	struct gb_str body;
+	enum ctl_reach reach;
+	int status;
+	uint64_t version; /* from the ETag header; 0 if there is none */
+	struct gb_buf answer;
+	struct gb_str cause; /* why there is no answer */
+};
+
+void ctl_http_run(struct ctl_call *calls, size_t len, gb_time timeout);
+void ctl_http_free(struct ctl_call *calls, size_t len);
+
+#endif
--- a/packages/settings/set-address.h
+++ b/packages/settings/set-address.h
@@ -3,7 +3,7 @@
 
 /*
  * NAME
- *	set-address - check of IP numbers, within the package
+ *	set-address - check of IP numbers and ports
  *
  * DESCRIPTION
  *	Apart from set.h, since sys/socket.h and msg/msg.h both declare
@@ -15,4 +15,7 @@
 /* Tells whether host is an IPv4 or IPv6 address written as numbers. */
 bool set_is_address(struct gb_str host);
 
+/* Reads "HOST:PORT", an IPv6 host in brackets; host is part of text. */
+int set_host_port(struct gb_str text, struct gb_str *host, uint16_t *port);
+
 #endif
--- a/packages/settings/set-type.c
+++ b/packages/settings/set-type.c
@@ -266,31 +266,17 @@
 	gb_buf_add(out, GB_STR("an IPv4 or IPv6 address as numbers"));
 }
 
-/* Reads "ID@HOST:PORT"; an IPv6 host stands in brackets. */
+/* Reads "ID@HOST:PORT". */
 static enum gb_code parse_seed(struct gb_str text, struct set_peer *peer)
 {
-	struct gb_str host = text, id, port;
+	struct gb_str id;
 	int64_t number;
 
-	if (!gb_str_cut(&host, '@', &id) ||
-	    gb_str_to_int(id, 1, UINT32_MAX, &number))
+	if (!gb_str_cut(&text, '@', &id) ||
+	    gb_str_to_int(id, 1, UINT32_MAX, &number) ||
+	    set_host_port(text, &peer->host, &peer->port))
 		return GB_ERR_WRONG_TYPE;
 	peer->vm = number;
-	port = host;
-	if (gb_str_starts_with(host, GB_STR("["))) {
-		host = gb_str_sub(host, 1, host.len);
-		port = host;
-		if (!gb_str_cut(&port, ']', &host) || !port.len ||
-		    port.ptr[0] != ':')
-			return GB_ERR_WRONG_TYPE;
-		port = gb_str_sub(port, 1, port.len);
-	} else if (!gb_str_cut(&port, ':', &host)) {
-		return GB_ERR_WRONG_TYPE;
-	}
-	if (!set_is_address(host) || gb_str_to_int(port, 1, 65535, &number))
-		return GB_ERR_WRONG_TYPE;
-	peer->host = host;
-	peer->port = number;
 	return GB_OK;
 }
 
