--- /dev/null
+++ b/packages/node/nd-event.c
@@ -0,0 +1,23 @@
+#include "node/nd-internal.h"
+
+void nd_event(struct node *node, enum ev_code code, struct gb_str request,
+	      struct gb_str upstream, struct gb_str dc, int64_t a, int64_t b)
+{
+	struct ev_event event = {
+		.hlc = ev_clock_tick(&node->hlc, node->clock.wall_ms),
+		.code = code,
+		.vm = node->settings.vm,
+		.request = request,
+		.upstream = upstream,
+		.dc = dc,
+		.a = a,
+		.b = b,
+	};
+
+	node->ops->event(node->ctx, &event);
+}
+
+void nd_event_plain(struct node *node, enum ev_code code, int64_t a, int64_t b)
+{
+	nd_event(node, code, GB_STR(""), GB_STR(""), GB_STR(""), a, b);
+}
--- /dev/null
+++ b/packages/node/nd-internal.h
@@ -0,0 +1,213 @@
+#ifndef ND_INTERNAL_H
+#define ND_INTERNAL_H
+
+/*
+ * NAME
+ *	nd-internal - state of a node, shared by the files of this package
+ */
+
+#include "node/nd.h"
+#include "once/once.h"
+#include "query/qry.h"
+#include "quorum/quo.h"
+#include "shard/shd.h"
+#include "suspect/sus.h"
+
+#include <glib.h>
+
+/* State of a service that outlives configuration versions. */
+struct nd_service {
+	struct gb_str name; /* owned */
+	struct shd_service shared;
+	struct qry_admission admission;
+	GPtrArray *shards; /* of struct nd_shard by shard index; may be NULL */
+};
+
+/* One shard that this VM owns or owned. */
+struct nd_shard {
+	struct node *node;
+	struct shd_shard *shard;
+	struct nd_service *service;
+	uint32_t index; /* of the shard within the service */
+	uint32_t unit;
+};
+
+/* What one query of an entry VM has running here; its number names the VM. */
+struct nd_work {
+	uint32_t vm;
+	uint64_t query;
+	struct gb_str request; /* owned */
+	uint32_t open; /* sub-requests without a result */
+	bool queued; /* is in the list of results to be sent */
+	GArray *results; /* of struct msg_sub_result; bodies are borrowed */
+	GArray *shards; /* of struct nd_shard pointers, for the cancel */
+};
+
+enum nd_order_state {
+	ND_ORDER_VOTING,
+	ND_ORDER_DUE, /* may run; to be sent to the owner */
+	ND_ORDER_SENT,
+	ND_ORDER_CLOSED /* answered as unknown; waits for a late outcome */
+};
+
+/* One order that this VM coordinates. */
+struct nd_order {
+	enum nd_order_state state;
+	struct once_attempt attempt;
+	struct gb_str id; /* owned */
+	struct gb_str service; /* owned */
+	struct gb_str body; /* owned */
+	uint64_t fingerprint;
+	uint64_t caller;
+	bool caller_gone;
+	gb_time begin;
+	gb_time deadline;
+	gb_time next_tick;
+	uint32_t shard;
+	uint64_t sub; /* attempt identity of the sub-request */
+	uint32_t sends;
+};
+
+/* One confirmation that waits for the platform. */
+struct nd_confirm {
+	uint64_t caller;
+	uint64_t plan;
+	uint64_t base_version;
+	struct cfg *next; /* referenced */
+	gb_time deadline;
+	gb_time next_tick; /* GB_NEVER while a call is outstanding */
+	uint64_t tag; /* of the outstanding call */
+};
+
+/* Reads and watches of the configuration object. */
+struct nd_source {
+	uint64_t read_tag; /* 0 when none is outstanding */
+	uint64_t watch_tag;
+	gb_time retry_at;
+	gb_time pause;
+	bool down;
+	gb_time fetch_at; /* earliest time of the next fetch from a peer */
+};
+
+struct node {
+	struct nd_settings settings;
+	const struct nd_ops *ops;
+	void *ctx;
+	struct met_registry *metrics;
+	struct nd_clock clock;
+	struct gb_rng rng;
+	struct ev_clock hlc;
+
+	struct cfg_store store;
+	struct quo_members members;
+	struct quo_granter granter;
+	struct quo_holder holder;
+	struct once_voter *voter;
+	bool is_granter;
+	struct sus_table *suspects;
+
+	int self; /* roster index; -1 when not in the roster */
+	gb_time heartbeat_at;
+	gb_time hurry_until; /* heartbeats go faster until then */
+	gb_time reply_at[CFG_VMS_MAX]; /* sent by a granter as new as us */
+	uint64_t reply_ready; /* candidates as the last granter saw them */
+	uint64_t reply_live;
+	uint64_t live; /* members that counted as live at the last tick */
+	uint64_t candidates; /* members that may own units */
+	int8_t owner[CFG_UNITS]; /* roster index or -1 */
+	struct msg_units held; /* for events */
+	bool was_ready;
+
+	GPtrArray *services; /* of struct nd_service */
+	GPtrArray *shards; /* of struct nd_shard */
+	GHashTable *calls; /* call identity to struct nd_shard */
+	GHashTable *works; /* query number to struct nd_work */
+	GPtrArray *results; /* of struct nd_work with results to send */
+	GHashTable *queries; /* number to struct qry_query */
+	GPtrArray *ended; /* queries to be freed */
+	GHashTable *orders; /* number to struct nd_order */
+	GHashTable *orders_seen; /* sub-requests of orders that arrived here */
+	GQueue *orders_seen_age; /* the same, oldest first */
+	GPtrArray *confirms; /* of struct nd_confirm */
+	struct nd_source source;
+	GQueue *self_queue; /* messages of this VM to itself */
+
+	uint64_t id_base;
+	uint32_t id_next;
+	uint64_t tag_next;
+	bool stopping;
+};
+
+/* nd-node.c */
+uint64_t nd_id(struct node *node);
+void nd_begin(struct node *node, struct nd_clock clock);
+void nd_end(struct node *node);
+
+/* nd-event.c */
+void nd_event(struct node *node, enum ev_code code, struct gb_str request,
+	      struct gb_str upstream, struct gb_str dc, int64_t a, int64_t b);
+void nd_event_plain(struct node *node, enum ev_code code, int64_t a, int64_t b);
+
+/* nd-peer.c */
+void nd_send(struct node *node, uint32_t vm, struct msg *msg);
+void nd_send_all(struct node *node, struct msg *msg);
+void nd_send_granters(struct node *node, struct msg *msg);
+void nd_dispatch(struct node *node, const struct msg *msg);
+
+/* nd-member.c */
+void nd_member_tick(struct node *node);
+void nd_member_follow(struct node *node);
+void nd_member_hurry(struct node *node);
+bool nd_quorum(const struct node *node);
+void nd_on_heartbeat(struct node *node, const struct msg *msg);
+void nd_on_heartbeat_reply(struct node *node, const struct msg *msg);
+
+/* nd-config.c */
+void nd_config_tick(struct node *node);
+void nd_config_offer(struct node *node, struct cfg *cfg);
+void nd_config_heard(struct node *node, uint32_t vm, uint64_t version);
+void nd_on_config_fetch(struct node *node, const struct msg *msg);
+void nd_on_config(struct node *node, const struct msg *msg);
+
+/* nd-owner.c */
+void nd_owner_tick(struct node *node);
+void nd_owner_follow(struct node *node);
+void nd_owner_leases(struct node *node);
+bool nd_owner_unit_idle(const struct node *node, uint32_t unit);
+uint32_t nd_owner_running(const struct node *node);
+void nd_owner_flush(struct node *node);
+void nd_owner_free(struct node *node);
+void nd_on_batch(struct node *node, const struct msg *msg);
+void nd_on_cancel(struct node *node, const struct msg *msg);
+void nd_on_quarantine(struct node *node, const struct msg *msg);
+struct nd_service *nd_service_get(struct node *node,
+				  const struct cfg_service *cfg);
+
+/* nd-query.c */
+void nd_query_tick(struct node *node);
+void nd_query_vm_lost(struct node *node, uint32_t vm);
+void nd_query_reap(struct node *node);
+void nd_query_leave(struct node *node, struct qry_query *query,
+		    bool overloaded);
+void nd_on_result(struct node *node, const struct msg *msg);
+int nd_owner_of(const struct node *node, const struct cfg_service *service,
+		uint32_t shard);
+
+/* nd-order.c */
+void nd_order_tick(struct node *node);
+void nd_order_free(gpointer data);
+bool nd_order_result(struct node *node, uint64_t number,
+		     const struct msg_sub_result *result);
+uint32_t nd_order_running(const struct node *node);
+void nd_on_vote(struct node *node, const struct msg *msg);
+void nd_on_vote_reply(struct node *node, const struct msg *msg);
+void nd_on_release(struct node *node, const struct msg *msg);
+void nd_on_outcome(struct node *node, const struct msg *msg);
+
+/* nd-plan.c */
+void nd_plan_tick(struct node *node);
+void nd_plan_store_done(struct node *node,
+			const struct nd_store_result *result);
+void nd_confirm_free(gpointer data);
+
+#endif
--- /dev/null
+++ b/packages/node/nd-member.c
@@ -0,0 +1,256 @@
+#include "node/nd-internal.h"
+
+#include <string.h>
+
+/* Heartbeats go this much faster while units move between VMs. */
+#define HURRY_FACTOR 6
+#define HURRY_TIME (2 * GB_SEC)
+
+static bool eligible(const struct node *node);
+static void update_candidates(struct node *node);
+static void update_owners(struct node *node);
+static void report_members(struct node *node, uint64_t live);
+static bool update_units(struct node *node);
+static void report_units(struct node *node);
+static void send_heartbeat(struct node *node);
+
+/* Tells whether this VM may own units. */
+static bool eligible(const struct node *node)
+{
+	const struct cfg *cfg = node->store.current;
+
+	return cfg && node->self >= 0 && !node->stopping &&
+	       !cfg_dc(cfg, cfg_vm(cfg, node->self)->dc)->out;
+}
+
+/*
+ * Granters hear every member themselves; other VMs go by the last reply of a
+ * granter.
+ */
+static void update_candidates(struct node *node)
+{
+	uint64_t live = node->reply_live;
+	uint64_t ready = node->reply_ready;
+
+	if (node->is_granter) {
+		live = quo_members_live(&node->members, node->clock.now);
+		ready = quo_members_ready(&node->members, node->clock.now);
+	}
+	if (node->self >= 0) {
+		live |= 1ULL << node->self;
+		ready &= ~(1ULL << node->self);
+		if (eligible(node))
+			ready |= 1ULL << node->self;
+	}
+	if (live != node->live)
+		report_members(node, live);
+	if (ready == node->candidates)
+		return;
+	node->candidates = ready;
+	update_owners(node);
+	nd_member_hurry(node);
+}
+
+static void update_owners(struct node *node)
+{
+	const struct cfg *cfg = node->store.current;
+
+	for (uint32_t i = 0; i < CFG_UNITS; i++)
+		node->owner[i] = cfg ? quo_owner(cfg, node->candidates, i) : -1;
+}
+
+/* Notes which members came or went; queries send again what a dead one had. */
+static void report_members(struct node *node, uint64_t live)
+{
+	const struct cfg *cfg = node->store.current;
+	uint64_t changed = live ^ node->live;
+
+	node->live = live;
+	met_set(node->metrics, MET_MEMBERS_LIVE, __builtin_popcountll(live));
+	for (guint i = 0; cfg && i < cfg->vms->len; i++) {
+		bool is = live >> i & 1;
+
+		if (!(changed >> i & 1) || (int)i == node->self)
+			continue;
+		nd_event_plain(node, is ? EV_MEMBER_LIVE : EV_MEMBER_DEAD,
+			       cfg_vm(cfg, i)->id, 0);
+		if (!is)
+			nd_query_vm_lost(node, cfg_vm(cfg, i)->id);
+	}
+}
+
+/*
+ * Wants the units that this VM should own and releases others once their work
+ * is done. Returns true while a unit is on its way to or from this VM.
+ */
+static bool update_units(struct node *node)
+{
+	bool moving = false;
+
+	for (uint32_t i = 0; i < CFG_UNITS; i++) {
+		bool mine = node->self >= 0 && node->owner[i] == node->self;
+
+		if (mine) {
+			quo_holder_want(&node->holder, i);
+			moving |= quo_holder_expires(&node->holder, i) <=
+				  node->clock.now;
+			continue;
+		}
+		if (!msg_units_has(&node->holder.wanted, i))
+			continue;
+		if (nd_owner_unit_idle(node, i))
+			quo_holder_release(&node->holder, i);
+		else
+			moving = true;
+	}
+	return moving;
+}
+
+/* Reports which units were gained and lost since the last look. */
+static void report_units(struct node *node)
+{
+	struct msg_units held = { .word = { 0 } };
+	uint32_t gained = 0, lost = 0, total = 0;
+
+	for (uint32_t i = 0; i < CFG_UNITS; i++)
+		if (quo_holder_expires(&node->holder, i) > node->clock.now)
+			msg_units_set(&held, i);
+	for (uint32_t i = 0; i < MSG_UNIT_WORDS; i++) {
+		uint64_t changed = held.word[i] ^ node->held.word[i];
+
+		gained += __builtin_popcountll(changed & held.word[i]);
+		lost += __builtin_popcountll(changed & node->held.word[i]);
+		total += __builtin_popcountll(held.word[i]);
+	}
+	node->held = held;
+	met_set(node->metrics, MET_UNITS_HELD, total);
+	met_add(node->metrics, MET_LEASES_GAINED, gained);
+	met_add(node->metrics, MET_LEASES_LOST, lost);
+	if (gained)
+		nd_event_plain(node, EV_LEASE_GAINED, gained, total);
+	if (lost)
+		nd_event_plain(node, EV_LEASE_LOST, lost, total);
+}
+
+static void send_heartbeat(struct node *node)
+{
+	struct msg msg = { .kind = MSG_HEARTBEAT };
+
+	quo_holder_heartbeat(&node->holder, node->clock.now,
+			     node->store.current, eligible(node),
+			     node->stopping, &msg.heartbeat);
+	nd_send_granters(node, &msg);
+}
+
+/* Lets the next heartbeats go at once and fast for a while. */
+void nd_member_hurry(struct node *node)
+{
+	node->hurry_until = node->clock.now + HURRY_TIME;
+	node->heartbeat_at = MIN(node->heartbeat_at, node->clock.now);
+}
+
+void nd_member_tick(struct node *node)
+{
+	gb_time interval = node->settings.heartbeat;
+	bool moving;
+
+	update_candidates(node);
+	if (node->clock.now < node->heartbeat_at)
+		return;
+	moving = update_units(node);
+	report_units(node);
+	if (moving && node->clock.now < node->hurry_until)
+		interval /= HURRY_FACTOR;
+	node->heartbeat_at = node->clock.now + interval;
+	if (node->store.current && node->self >= 0)
+		send_heartbeat(node);
+	once_voter_expire(node->voter, node->clock.wall_ms);
+}
+
+/* Follows a new configuration. */
+void nd_member_follow(struct node *node)
+{
+	const struct cfg *cfg = node->store.current;
+	bool was_granter = node->is_granter;
+
+	quo_members_follow(&node->members, cfg);
+	quo_holder_follow(&node->holder, cfg);
+	node->self = cfg_find_vm(cfg, node->settings.vm);
+	node->is_granter =
+		node->self >= 0 && node->self < (int)cfg_granters(cfg);
+	/* Votes from before this VM was a granter were not seen here. */
+	if (node->is_granter && !was_granter)
+		once_voter_start(node->voter, node->clock.wall_ms);
+	quo_members_heard(&node->members, node->clock.now, node->settings.vm,
+			  node->settings.incarnation, cfg->epoch, cfg->version);
+	memset(node->reply_at, 0, sizeof(node->reply_at));
+	node->reply_live = 0;
+	node->reply_ready = 0;
+	node->candidates = 0;
+	update_candidates(node);
+	update_owners(node);
+	nd_member_hurry(node);
+}
+
+/*
+ * Tells whether a majority of granters, with no newer configuration than this
+ * VM's, answered within the last lease time.
+ */
+bool nd_quorum(const struct node *node)
+{
+	const struct cfg *cfg = node->store.current;
+	uint32_t heard = 0;
+
+	for (uint32_t i = 0; i < cfg_granters(cfg); i++)
+		heard += node->reply_at[i] &&
+			 node->clock.now - node->reply_at[i] <
+				 node->settings.lease;
+	return heard >= cfg_majority(cfg);
+}
+
+void nd_on_heartbeat(struct node *node, const struct msg *msg)
+{
+	const struct msg_heartbeat *heartbeat = &msg->heartbeat;
+	const struct cfg *cfg = node->store.current;
+	struct msg reply = { .kind = MSG_HEARTBEAT_REPLY };
+
+	nd_config_heard(node, msg->from, heartbeat->config_version);
+	if (!cfg)
+		return;
+	quo_members_heard(&node->members, node->clock.now, msg->from,
+			  heartbeat->incarnation, heartbeat->epoch,
+			  heartbeat->config_version);
+	if (!node->is_granter)
+		return;
+	if (!quo_granter_heartbeat(&node->granter, node->clock.now, cfg,
+				   msg->from, heartbeat,
+				   &reply.heartbeat_reply))
+		return;
+	nd_send(node, msg->from, &reply);
+}
+
+void nd_on_heartbeat_reply(struct node *node, const struct msg *msg)
+{
+	const struct msg_heartbeat_reply *reply = &msg->heartbeat_reply;
+	const struct cfg *cfg = node->store.current;
+	int index;
+
+	nd_config_heard(node, msg->from, reply->config_version);
+	if (!cfg)
+		return;
+	index = cfg_find_vm(cfg, msg->from);
+	if (index < 0)
+		return;
+	quo_members_heard(&node->members, node->clock.now, msg->from,
+			  reply->incarnation, reply->epoch,
+			  reply->config_version);
+	quo_holder_reply(&node->holder, cfg, msg->from, reply);
+	if (reply->epoch == cfg->epoch && reply->config_version <= cfg->version)
+		node->reply_at[index] = node->clock.now;
+	if (reply->epoch == cfg->epoch) {
+		node->reply_live = reply->live;
+		node->reply_ready = reply->ready;
+	}
+	nd_owner_leases(node);
+	report_units(node);
+}
--- /dev/null
+++ b/packages/node/nd-node.c
@@ -0,0 +1,264 @@
+#include "node/nd-internal.h"
+
+#include <string.h>
+
+/* Work that is due is looked for at this resolution. */
+#define TICK GB_MSEC
+
+/* Fingerprints remembered, and how long a quarantine lasts. */
+#define SUSPECTS_MAX 65536
+#define QUARANTINE (600 * GB_SEC)
+
+static bool busy(const struct node *node);
+
+void nd_settings_default(struct nd_settings *settings)
+{
+	*settings = (struct nd_settings){
+		.vm = 1,
+		.heartbeat = 300 * GB_MSEC,
+		.lease = 1200 * GB_MSEC,
+		.drift = 50 * GB_MSEC,
+		.suspect_after = 900 * GB_MSEC,
+		.key_retention = 900 * GB_SEC,
+		.clock_skew = 5 * GB_SEC,
+		.queries_max = 4096,
+	};
+}
+
+struct node *nd_new(const struct nd_settings *settings,
+		    const struct nd_ops *ops, void *ctx,
+		    struct met_registry *metrics, struct nd_clock clock)
+{
+	struct node *node = g_new0(struct node, 1);
+
+	node->settings = *settings;
+	node->settings.dc = gb_str_dup(settings->dc);
+	node->ops = ops;
+	node->ctx = ctx;
+	node->metrics = metrics;
+	node->clock = clock;
+	node->rng.state = settings->seed;
+	node->self = -1;
+	quo_members_init(&node->members, settings->suspect_after);
+	quo_granter_init(&node->granter, &node->members, settings->incarnation,
+			 clock.now, settings->lease);
+	quo_holder_init(&node->holder, settings->incarnation, settings->lease,
+			settings->drift);
+	node->voter =
+		once_voter_new(settings->key_retention, settings->clock_skew);
+	node->suspects = sus_new(SUSPECTS_MAX, QUARANTINE);
+	node->services = g_ptr_array_new();
+	node->shards = g_ptr_array_new();
+	node->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    NULL);
+	node->works = g_hash_table_new(g_int64_hash, g_int64_equal);
+	node->results = g_ptr_array_new();
+	node->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
+	node->ended = g_ptr_array_new();
+	node->orders = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     nd_order_free);
+	node->orders_seen = g_hash_table_new(g_int64_hash, g_int64_equal);
+	node->orders_seen_age = g_queue_new();
+	node->confirms = g_ptr_array_new_with_free_func(nd_confirm_free);
+	node->self_queue = g_queue_new();
+	node->id_base = (uint64_t)(settings->vm & 0xfff) << 52 |
+			(gb_hash_u64(settings->incarnation, 0) & 0xfffff) << 32;
+	node->tag_next = 1;
+	memset(node->owner, -1, sizeof(node->owner));
+	nd_event_plain(node, EV_START, settings->vm, 0);
+	return node;
+}
+
+void nd_free(struct node *node)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!node)
+		return;
+	nd_owner_free(node);
+	g_hash_table_iter_init(&iter, node->queries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(node->ended, value);
+	for (guint i = 0; i < node->ended->len; i++)
+		qry_free(g_ptr_array_index(node->ended, i));
+	g_ptr_array_free(node->ended, TRUE);
+	g_hash_table_destroy(node->queries);
+	g_hash_table_destroy(node->orders);
+	g_hash_table_destroy(node->orders_seen);
+	g_queue_free_full(node->orders_seen_age, g_free);
+	g_ptr_array_free(node->confirms, TRUE);
+	g_queue_free_full(node->self_queue, (GDestroyNotify)msg_free);
+	once_voter_free(node->voter);
+	sus_free(node->suspects);
+	cfg_store_free(&node->store);
+	gb_str_free(&node->settings.dc);
+	g_free(node);
+}
+
+/* Returns an identity unique to this VM and process. */
+uint64_t nd_id(struct node *node)
+{
+	return node->id_base | ++node->id_next;
+}
+
+void nd_begin(struct node *node, struct nd_clock clock)
+{
+	node->clock = clock;
+}
+
+/* Handles all that the input has led to, then frees what has ended. */
+void nd_end(struct node *node)
+{
+	struct msg *msg;
+
+	for (;;) {
+		nd_owner_flush(node);
+		msg = g_queue_pop_head(node->self_queue);
+		if (!msg)
+			break;
+		nd_dispatch(node, msg);
+		msg_free(msg);
+	}
+	nd_query_reap(node);
+	met_set(node->metrics, MET_QUERIES_RUNNING,
+		g_hash_table_size(node->queries));
+	met_set(node->metrics, MET_CALLS_RUNNING,
+		g_hash_table_size(node->calls));
+}
+
+void nd_tick(struct node *node, struct nd_clock clock)
+{
+	bool ready;
+
+	nd_begin(node, clock);
+	nd_member_tick(node);
+	nd_config_tick(node);
+	nd_owner_tick(node);
+	nd_query_tick(node);
+	nd_order_tick(node);
+	nd_plan_tick(node);
+	ready = nd_ready(node, clock);
+	if (ready != node->was_ready)
+		nd_event_plain(node, ready ? EV_READY : EV_UNREADY, 0, 0);
+	node->was_ready = ready;
+	nd_end(node);
+}
+
+/* Tells whether something may fall due before the next heartbeat. */
+static bool busy(const struct node *node)
+{
+	return g_hash_table_size(node->queries) ||
+	       g_hash_table_size(node->works) ||
+	       g_hash_table_size(node->calls) ||
+	       g_hash_table_size(node->orders) || node->confirms->len;
+}
+
+gb_time nd_next_tick(const struct node *node)
+{
+	gb_time next = node->heartbeat_at;
+
+	if (busy(node))
+		next = MIN(next, (node->clock.now / TICK + 1) * TICK);
+	return next;
+}
+
+void nd_peer_msg(struct node *node, struct nd_clock clock,
+		 const struct msg *msg)
+{
+	nd_begin(node, clock);
+	met_add(node->metrics, MET_PEER_MESSAGES, 1);
+	ev_clock_merge(&node->hlc, clock.wall_ms, msg->hlc);
+	nd_dispatch(node, msg);
+	nd_end(node);
+}
+
+void nd_caller_gone(struct node *node, struct nd_clock clock, uint64_t caller)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	nd_begin(node, clock);
+	g_hash_table_iter_init(&iter, node->queries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct qry_query *query = value;
+
+		if (query->caller != caller || query->ended)
+			continue;
+		nd_event(node, EV_QUERY_CANCELLED, query->id, GB_STR(""),
+			 GB_STR(""), 0, 0);
+		qry_abandon(query);
+		nd_query_leave(node, query, false);
+	}
+	g_hash_table_iter_init(&iter, node->orders);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct nd_order *order = value;
+
+		if (order->caller == caller)
+			order->caller_gone = true;
+	}
+	nd_end(node);
+}
+
+void nd_shutdown(struct node *node, struct nd_clock clock)
+{
+	nd_begin(node, clock);
+	if (!node->stopping) {
+		node->stopping = true;
+		nd_event_plain(node, EV_STOP_BEGIN, 0, 0);
+		nd_member_hurry(node);
+	}
+	nd_end(node);
+}
+
+/*
+ * All own queries and orders have ended, and so has the work for other VMs;
+ * units without work have been released.
+ */
+bool nd_stopped(const struct node *node)
+{
+	if (!node->stopping || g_hash_table_size(node->queries) ||
+	    nd_order_running(node) || nd_owner_running(node) ||
+	    node->confirms->len)
+		return false;
+	for (uint32_t i = 0; i < CFG_UNITS; i++)
+		if (quo_holder_expires(&node->holder, i) > node->clock.now)
+			return false;
+	return true;
+}
+
+bool nd_ready(const struct node *node, struct nd_clock clock)
+{
+	const struct cfg *cfg = node->store.current;
+
+	(void)clock;
+	if (!cfg || node->stopping || node->self < 0)
+		return false;
+	if (cfg_dc(cfg, cfg_vm(cfg, node->self)->dc)->out)
+		return false;
+	return nd_quorum(node);
+}
+
+void nd_status(const struct node *node, struct nd_clock clock,
+	       struct nd_status *status)
+{
+	*status = (struct nd_status){
+		.vm = node->settings.vm,
+		.incarnation = node->settings.incarnation,
+		.config_version = cfg_store_version(&node->store),
+		.epoch = node->store.current ? node->store.current->epoch : 0,
+		.ready = nd_ready(node, clock),
+		.stopping = node->stopping,
+		.queries_running = g_hash_table_size(node->queries),
+		.calls_running = g_hash_table_size(node->calls),
+		.live = node->live,
+	};
+	for (uint32_t i = 0; i < CFG_UNITS; i++)
+		status->units_held +=
+			quo_holder_expires(&node->holder, i) > clock.now;
+}
+
+struct cfg *nd_config(const struct node *node)
+{
+	return node->store.current;
+}
