--- /dev/null
+++ b/packages/quorum/quo-granter.c
@@ -0,0 +1,111 @@
+#include "quorum/quo.h"
+
+#include <string.h>
+
+static bool is_holder(const struct quo_grant *grant, uint32_t vm,
+		      uint64_t incarnation);
+static bool is_eligible(const struct cfg *cfg, const struct quo_member *member,
+			const struct msg_heartbeat *heartbeat);
+static void free_unlisted(struct quo_granter *granter, uint32_t vm,
+			  const struct msg_heartbeat *heartbeat);
+static void grant_listed(struct quo_granter *granter, gb_time now, uint32_t vm,
+			 const struct msg_heartbeat *heartbeat,
+			 struct msg_units *granted);
+
+void quo_granter_init(struct quo_granter *granter, struct quo_members *members,
+		      uint64_t incarnation, gb_time now, gb_time lease)
+{
+	memset(granter, 0, sizeof(*granter));
+	granter->lease = lease;
+	granter->incarnation = incarnation;
+	granter->members = members;
+	/* Grants of an earlier process of this VM may run that long. */
+	granter->silent_until = now + lease;
+}
+
+static bool is_holder(const struct quo_grant *grant, uint32_t vm,
+		      uint64_t incarnation)
+{
+	return grant->expires && grant->vm == vm &&
+	       grant->incarnation == incarnation;
+}
+
+/* Tells whether the sender may have units granted. */
+static bool is_eligible(const struct cfg *cfg, const struct quo_member *member,
+			const struct msg_heartbeat *heartbeat)
+{
+	return heartbeat->epoch == cfg->epoch &&
+	       heartbeat->config_version >= cfg->version && !member->out &&
+	       (heartbeat->ready || heartbeat->leaving);
+}
+
+/* Frees what the process holds here and no longer wants. */
+static void free_unlisted(struct quo_granter *granter, uint32_t vm,
+			  const struct msg_heartbeat *heartbeat)
+{
+	for (uint32_t unit = 0; unit < CFG_UNITS; unit++) {
+		struct quo_grant *grant = &granter->grant[unit];
+
+		if (is_holder(grant, vm, heartbeat->incarnation) &&
+		    heartbeat->seq > grant->seq &&
+		    !msg_units_has(&heartbeat->wanted, unit))
+			*grant = (struct quo_grant){ 0 };
+	}
+}
+
+/* Grants what is wanted and free; a leaving sender only keeps what it has. */
+static void grant_listed(struct quo_granter *granter, gb_time now, uint32_t vm,
+			 const struct msg_heartbeat *heartbeat,
+			 struct msg_units *granted)
+{
+	for (uint32_t unit = 0; unit < CFG_UNITS; unit++) {
+		struct quo_grant *grant = &granter->grant[unit];
+		bool used = now < grant->expires;
+		bool own = used && is_holder(grant, vm, heartbeat->incarnation);
+
+		if (!msg_units_has(&heartbeat->wanted, unit) ||
+		    (used && !own) || (heartbeat->leaving && !own))
+			continue;
+		*grant = (struct quo_grant){
+			.vm = vm,
+			.incarnation = heartbeat->incarnation,
+			.seq = heartbeat->seq,
+			.expires = now + granter->lease,
+		};
+		msg_units_set(granted, unit);
+	}
+}
+
+bool quo_granter_heartbeat(struct quo_granter *granter, gb_time now,
+			   const struct cfg *cfg, uint32_t vm,
+			   const struct msg_heartbeat *heartbeat,
+			   struct msg_heartbeat_reply *reply)
+{
+	struct quo_member *member = quo_members_find(granter->members, vm);
+
+	if (!member || cfg_find_vm(cfg, vm) < 0 ||
+	    heartbeat->incarnation < member->incarnation)
+		return false;
+	if (heartbeat->incarnation == member->incarnation &&
+	    heartbeat->seq <= member->seq)
+		return false;
+	quo_members_heard(granter->members, now, vm, heartbeat->incarnation,
+			  heartbeat->epoch, heartbeat->config_version);
+	member->seq = heartbeat->seq;
+	member->ready = heartbeat->ready;
+	member->leaving = heartbeat->leaving;
+	free_unlisted(granter, vm, heartbeat);
+
+	*reply = (struct msg_heartbeat_reply){
+		.incarnation = granter->incarnation,
+		.epoch = cfg->epoch,
+		.config_version = cfg->version,
+		.seq = heartbeat->seq,
+		.silent = now < granter->silent_until,
+		.live = quo_members_live(granter->members, now),
+		.ready = quo_members_ready(granter->members, now),
+	};
+	if (!reply->silent && is_eligible(cfg, member, heartbeat))
+		grant_listed(granter, now, vm, heartbeat, &reply->granted);
+	return true;
+}
--- a/packages/quorum/quo.h
+++ b/packages/quorum/quo.h
@@ -29,6 +29,7 @@
 struct quo_grant {
 	uint32_t vm;
 	uint64_t incarnation;
+	uint64_t seq;	 /* of the heartbeat last granted */
 	gb_time expires; /* 0 when free */
 };
 
@@ -42,6 +43,7 @@
 	gb_time adopted; /* when it was first heard at its epoch */
 	bool ready;
 	bool leaving;
+	bool out; /* its data centre is taken out */
 };
 
 /* The table of members, in roster order. */
