--- a/packages/once/once.h
+++ b/packages/once/once.h
@@ -28,6 +28,15 @@
 #define ONCE_KEY_MAX 128
 #define ONCE_GRANTERS_MIN 3 /* see docs/design.md, 7.4 */
 
+/*
+ * Bounds of a voter's memory, about 24 MB in all: a key takes up to 250 bytes
+ * besides its outcome. They allow 72 orders/s over 15 minutes. A full voter
+ * abstains on new keys; an outcome that does not fit leaves its key taken.
+ */
+#define ONCE_KEYS_MAX 65536
+#define ONCE_OUTCOME_BYTES_MAX (8 * 1024 * 1024)
+#define ONCE_RELEASED_MAX 4096 /* attempts whose late votes are refused */
+
 /* Reads the issue time from a key. */
 int once_key_issued(struct gb_str key, int64_t *issued_ms);
 
