--- /dev/null
+++ b/packages/policy/pol.c
@@ -0,0 +1,143 @@
+#include "policy/pol.h"
+
+#include <glib.h>
+
+/* The bucket holds the extra attempts of this many requests. */
+#define BUDGET_REQUESTS 1000
+
+#define HEDGE_SAMPLES_MIN 50
+#define HEDGE_DELAY_MIN GB_MSEC
+
+static gb_time quantile_delay(const struct pol_view *view, double full,
+			      double empty);
+static bool may_retry(const struct pol_view *view, enum pol_failure failure,
+		      uint32_t attempts_max);
+static gb_time latency_hedge_delay(const struct pol_view *view);
+static bool latency_retry(const struct pol_view *view,
+			  enum pol_failure failure);
+static double latency_patience(double coverage);
+static gb_time coverage_hedge_delay(const struct pol_view *view);
+static bool coverage_retry(const struct pol_view *view,
+			   enum pol_failure failure);
+static double coverage_patience(double coverage);
+
+static const struct pol_ops latency = {
+	.name = { "latency", 7 },
+	.hedge_delay = latency_hedge_delay,
+	.retry = latency_retry,
+	.patience = latency_patience,
+};
+
+static const struct pol_ops coverage_first = {
+	.name = { "coverage", 8 },
+	.hedge_delay = coverage_hedge_delay,
+	.retry = coverage_retry,
+	.patience = coverage_patience,
+};
+
+static const struct pol_ops *const policies[] = { &latency, &coverage_first };
+
+void pol_budget_init(struct pol_budget *budget, uint32_t permille)
+{
+	budget->per_request = permille / 1000.0;
+	budget->capacity = budget->per_request * BUDGET_REQUESTS;
+	/* Full, so that failures right after a takeover can be retried. */
+	budget->tokens = budget->capacity;
+}
+
+void pol_budget_request(struct pol_budget *budget)
+{
+	budget->tokens =
+		MIN(budget->tokens + budget->per_request, budget->capacity);
+}
+
+bool pol_budget_take(struct pol_budget *budget)
+{
+	if (budget->tokens < 1)
+		return false;
+	budget->tokens -= 1;
+	return true;
+}
+
+double pol_budget_level(const struct pol_budget *budget)
+{
+	if (budget->capacity <= 0)
+		return 0;
+	return CLAMP(budget->tokens / budget->capacity, 0, 1);
+}
+
+/*
+ * Returns the quantile that the budget level selects. It rises as the bucket
+ * empties, so that the rate of hedges settles at the refill of the bucket.
+ */
+static gb_time quantile_delay(const struct pol_view *view, double full,
+			      double empty)
+{
+	double quantile = empty + (full - empty) * view->budget_level;
+	gb_time delay;
+
+	if (view->order || view->budget_level <= 0 ||
+	    view->times->count < HEDGE_SAMPLES_MIN)
+		return GB_NEVER;
+	delay = met_hist_quantile(view->times, quantile);
+	delay = MAX(delay, HEDGE_DELAY_MIN);
+	return delay < view->time_left ? delay : GB_NEVER;
+}
+
+/* Tells whether a failure may be retried under any policy. */
+static bool may_retry(const struct pol_view *view, enum pol_failure failure,
+		      uint32_t attempts_max)
+{
+	if (view->time_left <= 0 || view->attempts >= attempts_max)
+		return false;
+	/* Only a refusal is certain not to have run the order. */
+	return !view->order || failure == POL_REFUSED;
+}
+
+static gb_time latency_hedge_delay(const struct pol_view *view)
+{
+	return quantile_delay(view, 0.95, 0.995);
+}
+
+static bool latency_retry(const struct pol_view *view, enum pol_failure failure)
+{
+	return may_retry(view, failure, 2);
+}
+
+static double latency_patience(double coverage)
+{
+	(void)coverage;
+	return 0.9;
+}
+
+static gb_time coverage_hedge_delay(const struct pol_view *view)
+{
+	return quantile_delay(view, 0.98, 0.999);
+}
+
+static bool coverage_retry(const struct pol_view *view,
+			   enum pol_failure failure)
+{
+	return may_retry(view, failure, 4);
+}
+
+static double coverage_patience(double coverage)
+{
+	(void)coverage;
+	return 0.98;
+}
+
+const struct pol_ops *pol_find(struct gb_str name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
+		if (gb_str_eq(policies[i]->name, name))
+			return policies[i];
+	}
+	return NULL;
+}
+
+const struct pol_ops *const *pol_all(size_t *len)
+{
+	*len = G_N_ELEMENTS(policies);
+	return policies;
+}
--- /dev/null
+++ b/packages/suspect/sus.c
@@ -0,0 +1,206 @@
+#include "suspect/sus.h"
+
+#include <glib.h>
+
+struct entry {
+	uint64_t fingerprint;
+	enum sus_state state;
+	uint32_t crashes;
+	gb_time until; /* end of the quarantine */
+	GList link;    /* in good or in others, oldest first */
+};
+
+struct sus_table {
+	GHashTable *entries; /* fingerprint to struct entry, owned */
+	GQueue good;
+	GQueue others;
+	size_t entries_max;
+	gb_time quarantine;
+};
+
+static struct entry *find(const struct sus_table *table, uint64_t fingerprint);
+static struct entry *obtain(struct sus_table *table, uint64_t fingerprint);
+static void make_room(struct sus_table *table);
+static void drop(struct sus_table *table, struct entry *entry);
+static GQueue *queue_of(struct sus_table *table, const struct entry *entry);
+static void set_state(struct sus_table *table, struct entry *entry,
+		      enum sus_state state);
+static enum sus_state state_at(const struct entry *entry, gb_time now);
+static void quarantine(struct sus_table *table, gb_time now,
+		       struct entry *entry);
+
+struct sus_table *sus_new(size_t entries_max, gb_time quarantine_time)
+{
+	struct sus_table *table = g_new0(struct sus_table, 1);
+
+	table->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, g_free);
+	g_queue_init(&table->good);
+	g_queue_init(&table->others);
+	table->entries_max = MAX(entries_max, 1);
+	table->quarantine = quarantine_time;
+	return table;
+}
+
+void sus_free(struct sus_table *table)
+{
+	if (!table)
+		return;
+	g_hash_table_destroy(table->entries);
+	g_free(table);
+}
+
+static struct entry *find(const struct sus_table *table, uint64_t fingerprint)
+{
+	return g_hash_table_lookup(table->entries, &fingerprint);
+}
+
+static GQueue *queue_of(struct sus_table *table, const struct entry *entry)
+{
+	return entry->state == SUS_GOOD ? &table->good : &table->others;
+}
+
+static void drop(struct sus_table *table, struct entry *entry)
+{
+	g_queue_unlink(queue_of(table, entry), &entry->link);
+	g_hash_table_remove(table->entries, &entry->fingerprint);
+}
+
+/* Drops the oldest good entry, or the oldest of all when none is good. */
+static void make_room(struct sus_table *table)
+{
+	GQueue *queue = table->good.length ? &table->good : &table->others;
+
+	if (sus_len(table) >= table->entries_max)
+		drop(table, queue->head->data);
+}
+
+/* Finds the entry of a fingerprint or adds one. */
+static struct entry *obtain(struct sus_table *table, uint64_t fingerprint)
+{
+	struct entry *entry = find(table, fingerprint);
+
+	if (entry)
+		return entry;
+	make_room(table);
+	entry = g_new0(struct entry, 1);
+	entry->fingerprint = fingerprint;
+	entry->link.data = entry;
+	g_hash_table_insert(table->entries, &entry->fingerprint, entry);
+	g_queue_push_tail_link(&table->others, &entry->link);
+	return entry;
+}
+
+/* Sets the state and makes the entry the newest of its queue. */
+static void set_state(struct sus_table *table, struct entry *entry,
+		      enum sus_state state)
+{
+	g_queue_unlink(queue_of(table, entry), &entry->link);
+	entry->state = state;
+	g_queue_push_tail_link(queue_of(table, entry), &entry->link);
+}
+
+/*
+ * The state at a time. After its quarantine a request is suspect, so that it
+ * runs alone and its next crash quarantines it again.
+ */
+static enum sus_state state_at(const struct entry *entry, gb_time now)
+{
+	if (entry->state == SUS_QUARANTINED && now >= entry->until)
+		return SUS_SUSPECT;
+	return entry->state;
+}
+
+static void quarantine(struct sus_table *table, gb_time now,
+		       struct entry *entry)
+{
+	entry->until = table->quarantine < GB_NEVER - now
+			       ? now + table->quarantine
+			       : GB_NEVER;
+	set_state(table, entry, SUS_QUARANTINED);
+}
+
+enum sus_state sus_state(const struct sus_table *table, gb_time now,
+			 uint64_t fingerprint)
+{
+	const struct entry *entry = find(table, fingerprint);
+
+	return entry ? state_at(entry, now) : SUS_UNKNOWN;
+}
+
+uint32_t sus_crashes(const struct sus_table *table, uint64_t fingerprint)
+{
+	const struct entry *entry = find(table, fingerprint);
+
+	return entry ? entry->crashes : 0;
+}
+
+void sus_begin(struct sus_table *table, gb_time now, uint64_t fingerprint)
+{
+	struct entry *entry = obtain(table, fingerprint);
+
+	if (state_at(entry, now) == SUS_UNKNOWN)
+		set_state(table, entry, SUS_CANARY);
+	else if (state_at(entry, now) == SUS_SUSPECT)
+		set_state(table, entry, SUS_ALONE);
+}
+
+enum sus_state sus_success(struct sus_table *table, gb_time now,
+			   uint64_t fingerprint)
+{
+	struct entry *entry = obtain(table, fingerprint);
+	enum sus_state state = state_at(entry, now);
+
+	/* A suspect is cleared only by the run that it had alone. */
+	if (state == SUS_SUSPECT || state == SUS_QUARANTINED)
+		return state;
+	entry->crashes = 0;
+	if (state != SUS_GOOD)
+		set_state(table, entry, SUS_GOOD);
+	return SUS_GOOD;
+}
+
+enum sus_state sus_crash(struct sus_table *table, gb_time now,
+			 uint64_t fingerprint)
+{
+	struct entry *entry = obtain(table, fingerprint);
+
+	entry->crashes++;
+	if (entry->crashes >= SUS_CRASHES_MAX)
+		quarantine(table, now, entry);
+	else
+		set_state(table, entry, SUS_SUSPECT);
+	return entry->state;
+}
+
+void sus_abandon(struct sus_table *table, uint64_t fingerprint)
+{
+	struct entry *entry = find(table, fingerprint);
+
+	if (!entry)
+		return;
+	if (entry->state == SUS_ALONE)
+		set_state(table, entry, SUS_SUSPECT);
+	else if (entry->state == SUS_CANARY)
+		drop(table, entry);
+}
+
+void sus_learn(struct sus_table *table, gb_time now, uint64_t fingerprint,
+	       uint32_t crashes)
+{
+	struct entry *entry;
+
+	if (!crashes || crashes <= sus_crashes(table, fingerprint))
+		return;
+	entry = obtain(table, fingerprint);
+	entry->crashes = crashes;
+	if (crashes >= SUS_CRASHES_MAX)
+		quarantine(table, now, entry);
+	else
+		set_state(table, entry, SUS_SUSPECT);
+}
+
+size_t sus_len(const struct sus_table *table)
+{
+	return g_hash_table_size(table->entries);
+}
