--- /dev/null
+++ b/packages/json/js-dump.h
@@ -0,0 +1,25 @@
+#ifndef JS_DUMP_H
+#define JS_DUMP_H
+
+/*
+ * NAME
+ *	js-dump - values built with jansson and appended to a gb_buf
+ */
+
+#include "base/gb.h"
+
+#include <jansson.h>
+
+/* Bytes that are no UTF-8 are replaced, as jansson refuses them. */
+json_t *js_string(struct gb_str s);
+json_t *js_hex_string(uint64_t number);
+
+/* Sets a member to a new reference; the key is a literal. */
+void js_set(json_t *object, const char *key, json_t *value);
+void js_set_int(json_t *object, const char *key, uint64_t value);
+void js_set_str(json_t *object, const char *key, struct gb_str value);
+
+/* Appends the compact text of a value and drops the reference. */
+void js_dump(json_t *json, struct gb_buf *out);
+
+#endif
