--- a/packages/config/cfg-build.c
+++ b/packages/config/cfg-build.c
@@ -11,7 +11,6 @@
 static GArray *array_new(guint size, GDestroyNotify clear);
 static void *append(GArray *array, const void *element);
 static void copy_shards(struct cfg_service *to, const struct cfg_service *from);
-static void copy_service(struct cfg *cfg, const struct cfg_service *from);
 
 static void clear_dc(gpointer data)
 {
@@ -189,6 +188,13 @@
 	return append(service->snapshots, &snapshot);
 }
 
+void cfg_keep_snapshots(struct cfg_service *service, uint32_t keep)
+{
+	if (service->snapshots->len > keep)
+		g_array_remove_range(service->snapshots, 0,
+				     service->snapshots->len - keep);
+}
+
 /* Notes the identity of a change and forgets the oldest one past the limit. */
 void cfg_add_change(struct cfg *cfg, uint64_t change)
 {
@@ -215,7 +221,8 @@
 	}
 }
 
-static void copy_service(struct cfg *cfg, const struct cfg_service *from)
+struct cfg_service *cfg_add_service_copy(struct cfg *cfg,
+					 const struct cfg_service *from)
 {
 	struct cfg_service *to = cfg_add_service(cfg, from->name);
 
@@ -233,6 +240,7 @@
 
 		g_array_append_vals(copy->docs, s->docs->data, s->docs->len);
 	}
+	return to;
 }
 
 struct cfg *cfg_copy(const struct cfg *cfg)
@@ -259,7 +267,7 @@
 		to->dc = from->dc;
 	}
 	for (guint i = 0; i < cfg->services->len; i++)
-		copy_service(copy, cfg_service(cfg, i));
+		cfg_add_service_copy(copy, cfg_service(cfg, i));
 	g_array_append_vals(copy->changes, cfg->changes->data,
 			    cfg->changes->len);
 	return copy;
--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -102,12 +102,19 @@
 struct cfg_vm *cfg_add_vm(struct cfg *cfg, uint32_t id, struct gb_str name,
 			  struct gb_str host);
 struct cfg_service *cfg_add_service(struct cfg *cfg, struct gb_str name);
+
+/* Adds a copy of a service; replicas keep their data centre indices. */
+struct cfg_service *cfg_add_service_copy(struct cfg *cfg,
+					 const struct cfg_service *from);
 struct cfg_shard *cfg_add_shard(struct cfg_service *service);
 struct cfg_replica *cfg_add_replica(struct cfg_shard *shard, struct gb_str name,
 				    struct gb_str host);
 struct cfg_snapshot *cfg_add_snapshot(struct cfg_service *service, uint64_t id);
 void cfg_set_policy(struct cfg_service *service, struct gb_str policy);
 void cfg_remove_vm(struct cfg *cfg, uint32_t index);
+
+/* Removes the oldest snapshots so that at most keep are left. */
+void cfg_keep_snapshots(struct cfg_service *service, uint32_t keep);
 void cfg_add_change(struct cfg *cfg, uint64_t change);
 
 /* Checks the rules that hold within one version. */
--- /dev/null
+++ b/packages/plan/pln-limit.c
@@ -0,0 +1,88 @@
+#include "plan/pln-row.h"
+
+#define NAME(text)                                   \
+	{                                            \
+		.ptr = text, .len = sizeof(text) - 1 \
+	}
+
+/* A number of a service: a uint32_t, or a gb_time set in milliseconds. */
+struct limit_row {
+	struct gb_str name;
+	size_t offset;
+	bool is_time;
+};
+
+static const struct limit_row limits[] = {
+	{ .name = NAME("slots"),
+	  .offset = offsetof(struct cfg_service, limits.slots) },
+	{ .name = NAME("queue"),
+	  .offset = offsetof(struct cfg_service, limits.queue) },
+	{ .name = NAME("connections"),
+	  .offset = offsetof(struct cfg_service, limits.connections) },
+	{ .name = NAME("cold_slots"),
+	  .offset = offsetof(struct cfg_service, limits.cold_slots) },
+	{ .name = NAME("ramp_ms"),
+	  .offset = offsetof(struct cfg_service, limits.ramp),
+	  .is_time = true },
+	{ .name = NAME("hedge_permille"),
+	  .offset = offsetof(struct cfg_service, hedge_permille) },
+	{ .name = NAME("deadline_ms"),
+	  .offset = offsetof(struct cfg_service, deadline),
+	  .is_time = true },
+	{ .name = NAME("priority"),
+	  .offset = offsetof(struct cfg_service, priority) },
+};
+
+static const struct limit_row *find_limit(struct gb_str name);
+static int64_t get(const struct limit_row *row, const void *place);
+static void set(const struct limit_row *row, void *place, int64_t value);
+
+static const struct limit_row *find_limit(struct gb_str name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(limits); i++)
+		if (gb_str_eq(limits[i].name, name))
+			return &limits[i];
+	return NULL;
+}
+
+static int64_t get(const struct limit_row *row, const void *place)
+{
+	if (row->is_time)
+		return *(const gb_time *)place;
+	return *(const uint32_t *)place;
+}
+
+static void set(const struct limit_row *row, void *place, int64_t value)
+{
+	if (row->is_time)
+		*(gb_time *)place = value;
+	else
+		*(uint32_t *)place = value;
+}
+
+/* Only keeps the value within its type; cfg_check() has the bounds. */
+int pln_limit_set(struct cfg *next, const struct pln_intent *intent,
+		  int64_t wall_ms, struct gb_error *err)
+{
+	const struct limit_row *row = find_limit(intent->field);
+	int index = cfg_find_service(next, intent->target);
+	int64_t value;
+	char *place;
+
+	(void)wall_ms;
+	if (!row)
+		return gb_fail(err, GB_ERR_UNKNOWN_KEY, intent->field, 0);
+	if (index < 0)
+		return gb_fail(err, GB_ERR_NOT_FOUND, intent->target, 0);
+	if (intent->value > UINT32_MAX)
+		return gb_fail(err, GB_ERR_OUT_OF_RANGE, intent->field,
+			       (int64_t)MIN(intent->value, INT64_MAX));
+	value = (int64_t)intent->value * (row->is_time ? GB_MSEC : 1);
+	place = (char *)&g_array_index(next->services, struct cfg_service,
+				       index) +
+		row->offset;
+	if (get(row, place) == value)
+		return gb_fail(err, GB_ERR_DUPLICATE, intent->field, value);
+	set(row, place, value);
+	return 0;
+}
--- /dev/null
+++ b/packages/plan/pln-row.c
@@ -0,0 +1,54 @@
+#include "plan/pln-row.h"
+
+#define NAME(text)                                   \
+	{                                            \
+		.ptr = text, .len = sizeof(text) - 1 \
+	}
+
+static const struct pln_row rows[PLN_KINDS] = {
+	[PLN_DC_OUT] = { .name = NAME("dc-out"),
+			 .needs = PLN_NEED_TARGET,
+			 .apply = pln_dc_out },
+	[PLN_DC_BACK] = { .name = NAME("dc-back"),
+			  .needs = PLN_NEED_TARGET,
+			  .apply = pln_dc_back },
+	[PLN_UPSTREAM_DRAIN] = { .name = NAME("upstream-drain"),
+				 .needs = PLN_NEED_TARGET,
+				 .apply = pln_upstream_drain },
+	[PLN_UPSTREAM_RESTORE] = { .name = NAME("upstream-restore"),
+				   .needs = PLN_NEED_TARGET,
+				   .apply = pln_upstream_restore },
+	[PLN_LIMIT_SET] = { .name = NAME("limit-set"),
+			    .needs = PLN_NEED_TARGET | PLN_NEED_FIELD,
+			    .apply = pln_limit_set },
+	[PLN_SERVICE_CREATE] = { .name = NAME("service-create"),
+				 .needs = PLN_NEED_PART,
+				 .apply = pln_service_create },
+	[PLN_SNAPSHOT_PUBLISH] = { .name = NAME("snapshot-publish"),
+				   .needs = PLN_NEED_PART,
+				   .apply = pln_snapshot_publish },
+	[PLN_VM_ADD] = { .name = NAME("vm-add"),
+			 .needs = PLN_NEED_PART,
+			 .apply = pln_vm_add },
+	[PLN_VM_REMOVE] = { .name = NAME("vm-remove"),
+			    .needs = PLN_NEED_TARGET,
+			    .apply = pln_vm_remove },
+};
+
+const struct pln_row *pln_row(enum pln_kind kind)
+{
+	return kind < PLN_KINDS ? &rows[kind] : NULL;
+}
+
+struct gb_str pln_kind_name(enum pln_kind kind)
+{
+	return kind < PLN_KINDS ? rows[kind].name : GB_STR("unknown");
+}
+
+enum pln_kind pln_kind_from_name(struct gb_str name)
+{
+	for (int i = 0; i < PLN_KINDS; i++)
+		if (gb_str_eq(rows[i].name, name))
+			return i;
+	return PLN_KINDS;
+}
