--- a/Makefile
+++ b/Makefile
@@ -42,30 +42,37 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -c -o $@ $<
+	@echo "  CC $<"
+	@$(CC) $(CFLAGS) -c -o $@ $<
 
 $(LIB): $(call obj,$(LIB_SRC))
 	@rm -f $@
-	ar rcs $@ $^
+	@echo "  AR $@"
+	@ar rcs $@ $^
 
 $(BUILD)/gentianbend: $(call obj,$(DAEMON_SRC)) $(LIB)
-	$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+	@echo "  LD $@"
+	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/gentianctl: $(call obj,$(CTL_SRC)) $(LIB)
-	$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+	@echo "  LD $@"
+	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/scenario: $(call obj,$(SCENARIO_SRC)) $(LIB)
-	$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+	@echo "  LD $@"
+	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
 $(UNITS): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/script/scr.o $(LIB)
-	$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+	@echo "  LD $@"
+	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
 # The scenario engine without its main function serves the benches too.
 SCENARIO_ENGINE = $(filter-out tests/scenario/scn-main.c,$(SCENARIO_SRC))
 
 define program
 $(1): $(call obj,$(filter $(2)/$(3)-% $(2)/common-%,$(4))) $(5) $(LIB)
-	$$(CC) $$(SANITIZE) -o $$@ $$^ $$(LDLIBS)
+	@echo "  LD $$@"
+	@$$(CC) $$(SANITIZE) -o $$@ $$^ $$(LDLIBS)
 endef
 $(foreach p,$(filter-out common,$(call programs,$(STANDIN_SRC))),\
 	$(eval $(call program,$(BUILD)/$(p),tests/standin,$(p),$(STANDIN_SRC),)))
@@ -80,10 +87,10 @@
 	clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 
 lint:
-	cppcheck --quiet --std=c11 --error-exitcode=1 -j 8 \
+	@cppcheck --quiet --std=c11 --error-exitcode=1 -j 8 \
 		--enable=warning,performance,portability --inline-suppr \
 		--library=gtk \
 		-Ipackages -Itests packages tests bench
--- a/packages/once/once-voter.c
+++ b/packages/once/once-voter.c
@@ -16,11 +16,11 @@
 	gb_time retention;
 	gb_time skew;
 	bool started;
-	int64_t floor_ms;    /* votes on keys issued earlier may be forgotten */
+	int64_t floor_ms; /* votes on keys issued earlier may be forgotten */
 	GHashTable *entries; /* of struct entry, by key */
 	GSequence *by_issued; /* of the same entries */
 	size_t outcome_bytes;
-	GHashTable *released;  /* set of struct msg_order_id */
+	GHashTable *released; /* set of struct msg_order_id */
 	GQueue released_order; /* the same, oldest first */
 };
 
--- a/packages/plan/tests/plan-test.c
+++ b/packages/plan/tests/plan-test.c
@@ -4,7 +4,7 @@
 #include <inttypes.h>
 
 struct ctx {
-	struct cfg *cfg;  /* version counts the plans applied */
+	struct cfg *cfg; /* version counts the plans applied */
 	struct cfg *part; /* of the next intent */
 };
 
--- a/packages/quorum/quo.h
+++ b/packages/quorum/quo.h
@@ -29,7 +29,7 @@
 struct quo_grant {
 	uint32_t vm;
 	uint64_t incarnation;
-	uint64_t seq;	 /* of the heartbeat last granted */
+	uint64_t seq; /* of the heartbeat last granted */
 	gb_time expires; /* 0 when free */
 };
 
--- a/packages/shard/shd-internal.h
+++ b/packages/shard/shd-internal.h
@@ -50,10 +50,10 @@
 struct shd_replica {
 	struct up_upstream up;
 	struct gb_str name;
-	uint32_t index;	  /* within the shard's configuration */
-	uint64_t bit;	  /* in the sets of an entry */
+	uint32_t index; /* within the shard's configuration */
+	uint64_t bit; /* in the sets of an entry */
 	uint32_t crashes; /* counts its lives */
-	bool present;	  /* in the configuration */
+	bool present; /* in the configuration */
 };
 
 struct shd_entry;
@@ -76,20 +76,20 @@
 	uint64_t query;
 	enum shd_entry_state state;
 	enum shd_class class;
-	GList link;		/* in a queue or among the parked */
+	GList link; /* in a queue or among the parked */
 	struct shd_entry *next; /* of the same query */
 	struct shd_entry *prev;
 	struct shd_call calls[SHD_CALLS];
 	uint32_t calls_len; /* active ones */
-	uint32_t hold;	    /* users that still need the entry */
-	uint32_t attempts;  /* without hedges */
+	uint32_t hold; /* users that still need the entry */
+	uint32_t attempts; /* without hedges */
 	gb_time submitted;
 	gb_time wait;
 	gb_time hedge_at;
 	gb_time timer;
 	size_t heap_pos;
-	uint64_t avoid;	 /* replicas that failed it */
-	uint64_t gone;	 /* replicas without its snapshot */
+	uint64_t avoid; /* replicas that failed it */
+	uint64_t gone; /* replicas without its snapshot */
 	bool free_retry; /* was used */
 	bool may_have_run;
 	bool refused; /* by its last upstream */
@@ -116,14 +116,14 @@
 	bool canary; /* the service's entry VMs vouch for requests */
 	double time_mean;
 	GPtrArray *replicas; /* of struct shd_replica, as configured */
-	GPtrArray *removed;  /* those that still have calls */
+	GPtrArray *removed; /* those that still have calls */
 	GQueue queue[SHD_CLASSES];
-	GQueue parked;	     /* wait for a verdict on their request */
-	GPtrArray *heap;     /* of struct shd_entry, by timer */
-	GHashTable *calls;   /* by identity */
+	GQueue parked; /* wait for a verdict on their request */
+	GPtrArray *heap; /* of struct shd_entry, by timer */
+	GHashTable *calls; /* by identity */
 	GHashTable *queries; /* first entry of each query */
 	uint32_t running;
-	struct shd_replica *alone;     /* reserved for, or running, a suspect */
+	struct shd_replica *alone; /* reserved for, or running, a suspect */
 	struct shd_entry *alone_entry; /* waits for the reserved replica */
 	bool placing;
 	bool place_again;
--- a/packages/suspect/sus.c
+++ b/packages/suspect/sus.c
@@ -7,7 +7,7 @@
 	enum sus_state state;
 	uint32_t crashes;
 	gb_time until; /* end of the quarantine */
-	GList link;    /* in good or in others, oldest first */
+	GList link; /* in good or in others, oldest first */
 };
 
 struct sus_table {
--- a/tests/standin/common-http.h
+++ b/tests/standin/common-http.h
@@ -38,7 +38,7 @@
 	size_t routes_len;
 	void *owner;
 	uint16_t number;
-	uint32_t conns_max;  /* 0 for no limit */
+	uint32_t conns_max; /* 0 for no limit */
 	uint32_t connect_ms; /* from connect to the first read */
 	uint32_t conns;
 	uint32_t works; /* connections that carried work */
--- a/tests/standin/platform.h
+++ b/tests/standin/platform.h
@@ -21,7 +21,7 @@
 	struct si_server server;
 	struct si_port port;
 	GHashTable *objects; /* path to struct plt_object */
-	GPtrArray *watches;  /* of struct plt_watch */
+	GPtrArray *watches; /* of struct plt_watch */
 	json_t *vms;
 	uint32_t rate; /* calls per second; 0 for no limit */
 	double tokens;
--- a/tests/standin/upstream.h
+++ b/tests/standin/upstream.h
@@ -56,7 +56,7 @@
 	uint32_t shards;
 	struct si_port port;
 	GPtrArray *records; /* lines of this shard */
-	GArray *snapshots;  /* of uint64_t */
+	GArray *snapshots; /* of uint64_t */
 	uint64_t instance;
 	gb_time cold_until;
 	gb_time frozen_until;
@@ -64,9 +64,9 @@
 	char *crash_on;
 	struct gb_rng rng;
 	uint32_t running;
-	GQueue queue;	       /* of struct ups_job */
-	GHashTable *jobs;      /* attempt to struct ups_job */
-	GHashTable *runs;      /* order key to count; survives a death */
+	GQueue queue; /* of struct ups_job */
+	GHashTable *jobs; /* attempt to struct ups_job */
+	GHashTable *runs; /* order key to count; survives a death */
 	uv_timer_t *come_back; /* NULL unless dead */
 	struct ups_stats stats;
 };
@@ -80,7 +80,7 @@
 	bool running;
 	gb_time begin;
 	gb_time deadline; /* GB_NEVER if none */
-	gb_time end;	  /* of the run */
+	gb_time end; /* of the run */
 	struct gb_str key;
 	uv_timer_t *timer;
 };
