--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -30,7 +30,7 @@
 struct cfg_dc {
 	struct gb_str name;
 	struct gb_str region;
-	bool out;	     /* taken out by an operator */
+	bool out; /* taken out by an operator */
 	gb_time returned_ms; /* wall time of the last return, for the ramp */
 };
 
@@ -72,24 +72,24 @@
 
 struct cfg_service {
 	struct gb_str name;
-	struct gb_str policy;	 /* "latency" or "coverage" */
-	uint32_t priority;	 /* 0 is served first */
+	struct gb_str policy; /* "latency" or "coverage" */
+	uint32_t priority; /* 0 is served first */
 	uint32_t hedge_permille; /* extra sub-requests, per thousand */
-	gb_time deadline;	 /* default when the caller names none */
-	bool canary;		 /* try an unknown request on one shard first */
+	gb_time deadline; /* default when the caller names none */
+	bool canary; /* try an unknown request on one shard first */
 	struct cfg_limits limits;
-	GArray *shards;	   /* of struct cfg_shard */
+	GArray *shards; /* of struct cfg_shard */
 	GArray *snapshots; /* of struct cfg_snapshot, newest last */
 };
 
 struct cfg {
 	gint refs;
 	uint64_t version;
-	uint64_t epoch;	  /* of the roster */
-	GArray *dcs;	  /* of struct cfg_dc */
-	GArray *vms;	  /* of struct cfg_vm, ordered by id */
+	uint64_t epoch; /* of the roster */
+	GArray *dcs; /* of struct cfg_dc */
+	GArray *vms; /* of struct cfg_vm, ordered by id */
 	GArray *services; /* of struct cfg_service */
-	GArray *changes;  /* of uint64_t, identities of the last changes */
+	GArray *changes; /* of uint64_t, identities of the last changes */
 };
 
 struct cfg *cfg_new(void);
@@ -102,12 +102,19 @@
 struct cfg_vm *cfg_add_vm(struct cfg *cfg, uint32_t id, struct gb_str name,
 			  struct gb_str host);
 struct cfg_service *cfg_add_service(struct cfg *cfg, struct gb_str name);
+
+/* Adds a copy of a service; replicas keep their data centre indices. */
+struct cfg_service *cfg_add_service_copy(struct cfg *cfg,
+					 const struct cfg_service *from);
 struct cfg_shard *cfg_add_shard(struct cfg_service *service);
 struct cfg_replica *cfg_add_replica(struct cfg_shard *shard, struct gb_str name,
 				    struct gb_str host);
 struct cfg_snapshot *cfg_add_snapshot(struct cfg_service *service, uint64_t id);
 void cfg_set_policy(struct cfg_service *service, struct gb_str policy);
 void cfg_remove_vm(struct cfg *cfg, uint32_t index);
+
+/* Removes the oldest snapshots so that at most keep are left. */
+void cfg_keep_snapshots(struct cfg_service *service, uint32_t keep);
 void cfg_add_change(struct cfg *cfg, uint64_t change);
 
 /* Checks the rules that hold within one version. */
--- a/packages/quorum/quo.h
+++ b/packages/quorum/quo.h
@@ -29,6 +29,7 @@
 struct quo_grant {
 	uint32_t vm;
 	uint64_t incarnation;
+	uint64_t seq; /* of the heartbeat last granted */
 	gb_time expires; /* 0 when free */
 };
 
@@ -38,10 +39,11 @@
 	uint64_t seq;
 	uint64_t epoch; /* last epoch heard of from it */
 	uint64_t config_version;
-	gb_time heard;	 /* 0 for never */
+	gb_time heard; /* 0 for never */
 	gb_time adopted; /* when it was first heard at its epoch */
 	bool ready;
 	bool leaving;
+	bool out; /* its data centre is taken out */
 };
 
 /* The table of members, in roster order. */
@@ -102,7 +104,7 @@
 	uint64_t seq;
 	struct msg_units wanted;
 	uint64_t wanted_since[CFG_UNITS]; /* sequence number */
-	gb_time sent[QUO_SENT_MAX];	  /* by sequence modulo QUO_SENT_MAX */
+	gb_time sent[QUO_SENT_MAX]; /* by sequence modulo QUO_SENT_MAX */
 	uint32_t granter_vm[CFG_GRANTERS_MAX];
 	gb_time expires[CFG_GRANTERS_MAX][CFG_UNITS];
 	uint32_t granters;
