--- /dev/null
+++ b/packages/daemon/gd-http.c
@@ -0,0 +1,394 @@
+#include "daemon/gd.h"
+
+#include <stdarg.h>
+
+#define BACKLOG 512
+
+/* Room for a body over the limit, so that its refusal is typed. */
+#define BODY_SLACK (64 * 1024)
+
+struct gd_conn {
+	uv_tcp_t tcp;
+	struct gd *gd;
+	h2o_socket_t *sock;
+	h2o_linklist_t link;
+	struct gd_waiting *waiting; /* NULL unless the node has its request */
+	gb_time busy_since; /* of an answer that is being written; 0 if none */
+};
+
+struct handler {
+	h2o_handler_t super;
+	struct gd *gd;
+};
+
+/* HTTP status of each error that a caller or operator may see. */
+static const int statuses[GB_ERR_CODES] = {
+	[GB_OK] = 200,
+	[GB_ERR_BAD_REQUEST] = 400,
+	[GB_ERR_BODY_TOO_LARGE] = 413,
+	[GB_ERR_UNKNOWN_SERVICE] = 404,
+	[GB_ERR_NOT_RUN] = 503,
+	[GB_ERR_UNKNOWN_OUTCOME] = 504,
+	[GB_ERR_OVER_LIMIT] = 429,
+	[GB_ERR_DEADLINE] = 504,
+	[GB_ERR_COVERAGE] = 503,
+	[GB_ERR_QUARANTINED] = 503,
+	[GB_ERR_KEY_EXPIRED] = 400,
+	[GB_ERR_IN_PROGRESS] = 409,
+	[GB_ERR_CONFLICT] = 409,
+	[GB_ERR_NOT_FOUND] = 404,
+	[GB_ERR_STORE_UNAVAILABLE] = 503,
+	[GB_ERR_STALE_VERSION] = 409,
+	[GB_ERR_SYNTAX] = 400,
+	[GB_ERR_UNKNOWN_KEY] = 400,
+	[GB_ERR_OUT_OF_RANGE] = 400,
+	[GB_ERR_WRONG_TYPE] = 400,
+	[GB_ERR_MISSING] = 400,
+	[GB_ERR_DUPLICATE] = 400,
+	[GB_ERR_REFERENCE] = 400,
+	[GB_ERR_ROSTER_STEP] = 409,
+	[GB_ERR_TOO_LARGE] = 413,
+	[GB_ERR_TRUNCATED] = 400,
+	[GB_ERR_IO] = 500,
+};
+
+static void on_connection(uv_stream_t *listener, int status);
+static void on_tcp_closed(uv_handle_t *handle);
+static void on_sock_closed(void *data);
+static int on_req(h2o_handler_t *self, h2o_req_t *req);
+static void on_leaving(h2o_socket_t *sock, const char *err);
+static struct gd_conn *conn_of(const h2o_req_t *req);
+static bool is_path(const struct gd_route *route, struct gb_str path);
+static int hex_digit(char c);
+static struct gb_str decode(h2o_req_t *req, struct gb_str text);
+
+int gd_http_init(struct gd *gd)
+{
+	struct gd_http *http = &gd->http;
+	struct sockaddr_storage addr;
+	h2o_pathconf_t *path;
+	struct handler *handler;
+	socklen_t len;
+	int ret;
+
+	h2o_linklist_init_anchor(&http->conns);
+	http->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
+	h2o_config_init(&http->config);
+	http->config.server_name = h2o_iovec_init(H2O_STRLIT("gentianbend"));
+	http->config.http1.req_timeout = gd->settings.http_idle / GB_MSEC;
+	http->config.http1.upgrade_to_http2 = 0;
+	http->config.max_request_entity_size =
+		gd->settings.body_max + BODY_SLACK;
+	http->hosts[0] = h2o_config_register_host(
+		&http->config, h2o_iovec_init(H2O_STRLIT("default")),
+		gd->settings.http_port);
+	path = h2o_config_register_path(http->hosts[0], "/", 0);
+	handler = (struct handler *)h2o_create_handler(path, sizeof(*handler));
+	handler->super.on_req = on_req;
+	handler->gd = gd;
+	h2o_context_init(&http->ctx, gd->uv, &http->config);
+	http->accept.ctx = &http->ctx;
+	http->accept.hosts = http->hosts;
+
+	uv_tcp_init(gd->uv, &http->listener);
+	http->listener.data = gd;
+	if (gd_address(gd->settings.host, gd->settings.http_port, &addr, &len))
+		return UV_EINVAL;
+	ret = uv_tcp_bind(&http->listener, (struct sockaddr *)&addr, 0);
+	if (!ret)
+		ret = uv_listen((uv_stream_t *)&http->listener, BACKLOG,
+				on_connection);
+	http->listening = !ret;
+	return ret;
+}
+
+static void on_connection(uv_stream_t *listener, int status)
+{
+	struct gd *gd = listener->data;
+	struct gd_http *http = &gd->http;
+	struct gd_conn *conn;
+
+	if (status)
+		return;
+	conn = g_new0(struct gd_conn, 1);
+	conn->gd = gd;
+	h2o_linklist_insert(&http->conns, &conn->link);
+	met_set(&gd->metrics, MET_CONNECTIONS, ++http->conns_len);
+	uv_tcp_init(gd->uv, &conn->tcp);
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) ||
+	    http->conns_len > gd->settings.http_connections_max) {
+		uv_close((uv_handle_t *)&conn->tcp, on_tcp_closed);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	conn->sock =
+		h2o_uv_socket_create((uv_stream_t *)&conn->tcp, on_tcp_closed);
+	conn->sock->on_close.cb = on_sock_closed;
+	conn->sock->on_close.data = conn;
+	h2o_accept(&http->accept, conn->sock);
+}
+
+static void on_sock_closed(void *data)
+{
+	struct gd_conn *conn = data;
+
+	conn->sock = NULL;
+}
+
+static void on_tcp_closed(uv_handle_t *handle)
+{
+	struct gd_conn *conn =
+		H2O_STRUCT_FROM_MEMBER(struct gd_conn, tcp, (uv_tcp_t *)handle);
+	struct gd *gd = conn->gd;
+
+	h2o_linklist_unlink(&conn->link);
+	met_set(&gd->metrics, MET_CONNECTIONS, --gd->http.conns_len);
+	g_free(conn);
+}
+
+/* The socket's on_close.data leads from a request to its connection. */
+static struct gd_conn *conn_of(const h2o_req_t *req)
+{
+	return req->conn->callbacks->get_socket(req->conn)->on_close.data;
+}
+
+static bool is_path(const struct gd_route *route, struct gb_str path)
+{
+	return route->prefix ? gb_str_starts_with(path, route->path)
+			     : gb_str_eq(path, route->path);
+}
+
+/* Operators' paths come first; all others under /v1/ name a service. */
+static int on_req(h2o_handler_t *self, h2o_req_t *req)
+{
+	static const struct gd_route callers = { GB_STR("POST"), GB_STR("/v1/"),
+						 true, gd_caller_request };
+	struct gd *gd = ((struct handler *)self)->gd;
+	struct gb_str path = { req->path_normalized.base,
+			       req->path_normalized.len };
+	struct gb_str method = { req->method.base, req->method.len };
+	struct gb_error err = { .code = GB_ERR_NOT_FOUND };
+	const struct gd_route *route = &callers;
+
+	met_add(&gd->metrics, MET_HTTP_REQUESTS, 1);
+	for (size_t i = 0; i < gd_admin_routes_len; i++) {
+		if (!is_path(&gd_admin_routes[i], path))
+			continue;
+		route = &gd_admin_routes[i];
+		break;
+	}
+	if (!is_path(route, path)) {
+		gb_fail(&err, GB_ERR_NOT_FOUND, path, 0);
+		gd_http_error(gd, req, &err);
+		return 0;
+	}
+	if (!gb_str_eq(route->method, method)) {
+		gd_http_add_header(req, GB_STR("allow"), "%s",
+				   route->method.ptr);
+		gd_http_reply(gd, req, 405, GB_STR("application/json"),
+			      GB_STR("{\"status\":\"bad_request\"}"));
+		return 0;
+	}
+	route->run(gd, req, gb_str_sub(path, route->path.len, path.len));
+	return 0;
+}
+
+int gd_http_status(enum gb_code code)
+{
+	return code < GB_ERR_CODES && statuses[code] ? statuses[code] : 500;
+}
+
+struct gb_str gd_http_header(const h2o_req_t *req, struct gb_str name)
+{
+	for (size_t i = 0; i < req->headers.size; i++) {
+		const h2o_header_t *header = &req->headers.entries[i];
+
+		if (h2o_lcstris(header->name->base, header->name->len, name.ptr,
+				name.len))
+			return (struct gb_str){ .ptr = header->value.base,
+						.len = header->value.len };
+	}
+	return GB_STR("");
+}
+
+static int hex_digit(char c)
+{
+	return g_ascii_isxdigit(c) ? g_ascii_xdigit_value(c) : -1;
+}
+
+/* Undoes the percent encoding of a query parameter. */
+static struct gb_str decode(h2o_req_t *req, struct gb_str text)
+{
+	char *out = h2o_mem_alloc_pool(&req->pool, text.len + 1);
+	size_t len = 0;
+
+	for (size_t i = 0; i < text.len; i++) {
+		if (text.ptr[i] == '%' && i + 2 < text.len &&
+		    hex_digit(text.ptr[i + 1]) >= 0 &&
+		    hex_digit(text.ptr[i + 2]) >= 0) {
+			out[len++] = hex_digit(text.ptr[i + 1]) << 4 |
+				     hex_digit(text.ptr[i + 2]);
+			i += 2;
+		} else {
+			out[len++] = text.ptr[i];
+		}
+	}
+	return (struct gb_str){ .ptr = out, .len = len };
+}
+
+struct gb_str gd_http_param(h2o_req_t *req, struct gb_str name)
+{
+	struct gb_str query = { req->path.base, req->path.len };
+	struct gb_str value, key;
+
+	if (req->query_at == SIZE_MAX)
+		return GB_STR("");
+	query = gb_str_sub(query, req->query_at + 1, query.len);
+	while (query.len) {
+		gb_str_cut(&query, '&', &value);
+		gb_str_cut(&value, '=', &key);
+		if (gb_str_eq(key, name))
+			return decode(req, value);
+	}
+	return GB_STR("");
+}
+
+void gd_http_add_header(h2o_req_t *req, struct gb_str name, const char *fmt,
+			...)
+{
+	char text[256];
+	h2o_iovec_t value;
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	value = h2o_strdup(&req->pool, text, SIZE_MAX);
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name.ptr, name.len,
+			      0, NULL, value.base, value.len);
+}
+
+void gd_http_reply(struct gd *gd, h2o_req_t *req, int status,
+		   struct gb_str type, struct gb_str body)
+{
+	/* A stopping daemon asks callers to take another connection. */
+	if (gd->phase != GD_RUNNING)
+		req->http1_is_persistent = 0;
+	conn_of(req)->busy_since = gd_now();
+	req->res.status = status;
+	req->res.reason = status < 400 ? "OK" : "Error";
+	req->res.content_length = body.len;
+	gd_http_add_header(req, GB_STR("content-type"), "%s", type.ptr);
+	h2o_send_inline(req, body.len ? body.ptr : "", body.len);
+}
+
+void gd_http_error(struct gd *gd, h2o_req_t *req, const struct gb_error *err)
+{
+	int status = gd_http_status(err->code);
+	struct gb_buf body = GB_BUF_INIT;
+
+	if (status == 400 || status == 413) {
+		met_add(&gd->metrics, MET_HTTP_BAD, 1);
+		gd_event(gd, EV_HTTP_BAD_REQUEST, GB_STR(""), GB_STR(""),
+			 status, err->code);
+	}
+	if (status == 429 || status == 503)
+		gd_http_add_header(req, GB_STR("retry-after"), "1");
+	js_error_encode(err, &body);
+	gd_http_reply(gd, req, status, GB_STR("application/json"),
+		      gb_buf_str(&body));
+	gb_buf_free(&body);
+}
+
+struct gd_waiting *gd_http_wait(struct gd *gd, h2o_req_t *req,
+				void (*gone)(struct gd *gd, uint64_t handle))
+{
+	struct gd_waiting *waiting = g_new0(struct gd_waiting, 1);
+
+	waiting->handle = ++gd->http.last_handle;
+	waiting->req = req;
+	waiting->conn = conn_of(req);
+	waiting->conn->waiting = waiting;
+	waiting->gone = gone;
+	g_hash_table_insert(gd->http.waiting, &waiting->handle, waiting);
+	return waiting;
+}
+
+struct gd_waiting *gd_http_find(struct gd *gd, uint64_t handle)
+{
+	return g_hash_table_lookup(gd->http.waiting, &handle);
+}
+
+/*
+ * h2o does not read while a request is processed, so the end of the
+ * connection would go unnoticed. Whatever is read stays in h2o's buffer.
+ */
+void gd_http_watch(struct gd *gd, uint64_t handle)
+{
+	struct gd_waiting *waiting = gd_http_find(gd, handle);
+
+	if (waiting)
+		h2o_socket_read_start(waiting->conn->sock, on_leaving);
+}
+
+static void on_leaving(h2o_socket_t *sock, const char *err)
+{
+	struct gd_conn *conn = sock->on_close.data;
+	struct gd_waiting *waiting = conn->waiting;
+	struct gd *gd = conn->gd;
+	uint64_t handle;
+	void (*gone)(struct gd *, uint64_t);
+	h2o_req_t *req;
+
+	/* The next request has come early; it waits for this one. */
+	if (!err) {
+		h2o_socket_read_stop(sock);
+		return;
+	}
+	if (!waiting)
+		return;
+	handle = waiting->handle;
+	gone = waiting->gone;
+	req = gd_http_finish(gd, waiting);
+	if (gone)
+		gone(gd, handle);
+	/* Nobody reads this answer; it makes h2o close the connection. */
+	req->http1_is_persistent = 0;
+	gd_http_reply(gd, req, 503, GB_STR("application/json"), GB_STR("{}"));
+}
+
+h2o_req_t *gd_http_finish(struct gd *gd, struct gd_waiting *waiting)
+{
+	h2o_req_t *req = waiting->req;
+
+	h2o_socket_read_stop(waiting->conn->sock);
+	waiting->conn->waiting = NULL;
+	g_hash_table_remove(gd->http.waiting, &waiting->handle);
+	if (waiting->has_intent)
+		js_intent_free(&waiting->intent);
+	g_free(waiting);
+	return req;
+}
+
+void gd_http_stop_listening(struct gd *gd)
+{
+	if (!gd->http.listening)
+		return;
+	gd->http.listening = false;
+	uv_close((uv_handle_t *)&gd->http.listener, NULL);
+}
+
+bool gd_http_drain(struct gd *gd)
+{
+	h2o_linklist_t *anchor = &gd->http.conns;
+
+	for (h2o_linklist_t *at = anchor->next; at != anchor; at = at->next) {
+		struct gd_conn *conn =
+			H2O_STRUCT_FROM_MEMBER(struct gd_conn, link, at);
+
+		if (conn->sock && !conn->waiting &&
+		    !h2o_socket_is_writing(conn->sock))
+			shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+	}
+	return h2o_linklist_is_empty(anchor);
+}
--- a/packages/daemon/gd-peer.c
+++ b/packages/daemon/gd-peer.c
@@ -53,16 +53,13 @@
 	struct wire_reader reader;
 };
 
-struct gd_loopback {
-	struct msg *msg;
-};
-
 static struct gd_peer *peer_get(struct gd *gd, uint32_t vm);
 static int peer_address(struct gd *gd, uint32_t vm,
 			struct sockaddr_storage *addr);
 static void peer_connect(struct gd_peer *peer);
-static void peer_drop(struct gd_peer *peer);
+static void peer_drop(struct gd_peer *peer, int error);
 static void peer_write(struct gd_peer *peer);
+static bool is_control(enum msg_kind kind);
 static void send_to_self(struct gd *gd, void *arg);
 static void set_socket_options(uv_tcp_t *tcp);
 static void on_connected(uv_connect_t *req, int status);
@@ -130,6 +127,14 @@
 	return -1;
 }
 
+/* Tells whether a message belongs to no single request. */
+static bool is_control(enum msg_kind kind)
+{
+	return kind == MSG_HEARTBEAT || kind == MSG_HEARTBEAT_REPLY ||
+	       kind == MSG_CONFIG_FETCH || kind == MSG_CONFIG ||
+	       kind == MSG_QUARANTINE;
+}
+
 void gd_peer_send(struct gd *gd, uint32_t vm, const struct msg *msg)
 {
 	struct gd_peer *peer;
@@ -142,7 +147,7 @@
 	peer = peer_get(gd, vm);
 	if (peer->state == PEER_CONNECTING &&
 	    gd_now() >= peer->connect_begin + CONNECT_MAX)
-		peer_drop(peer);
+		peer_drop(peer, UV_ETIMEDOUT);
 	if (peer->state == PEER_IDLE)
 		peer_connect(peer);
 	if (peer->state == PEER_IDLE ||
@@ -150,8 +155,10 @@
 		return;
 	before = peer->queue.len;
 	wire_encode(msg, &peer->queue);
-	met_add(&gd->metrics, MET_PEER_MESSAGES, 1);
 	met_add(&gd->metrics, MET_PEER_BYTES, peer->queue.len - before);
+	if (is_control(msg->kind))
+		met_add(&gd->metrics, MET_CONTROL_BYTES,
+			peer->queue.len - before);
 }
 
 static void send_to_self(struct gd *gd, void *arg)
@@ -181,17 +188,17 @@
 	peer->connect_begin = now;
 	if (uv_tcp_connect(&conn->connect, &conn->tcp, (struct sockaddr *)&addr,
 			   on_connected))
-		peer_drop(peer);
+		peer_drop(peer, 0);
 }
 
 /* Gives the connection up with all that was queued for it. */
-static void peer_drop(struct gd_peer *peer)
+static void peer_drop(struct gd_peer *peer, int error)
 {
 	peer->backoff = CLAMP(peer->backoff * 2, BACKOFF_MIN, BACKOFF_MAX);
 	peer->not_before = gd_now() + peer->backoff;
 	if (peer->state == PEER_OPEN)
 		gd_event(peer->gd, EV_PEER_LOST, GB_STR(""), GB_STR(""),
-			 peer->vm, 0);
+			 peer->vm, error);
 	peer->state = PEER_IDLE;
 	gb_buf_reset(&peer->queue);
 	peer->writing = 0;
@@ -225,7 +232,7 @@
 	if (!peer)
 		return;
 	if (status) {
-		peer_drop(peer);
+		peer_drop(peer, status);
 		return;
 	}
 	set_socket_options(&conn->tcp);
@@ -249,7 +256,7 @@
 	struct gd_peer_conn *conn = stream->data;
 
 	if (len < 0 && conn->peer)
-		peer_drop(conn->peer);
+		peer_drop(conn->peer, (int)len);
 }
 
 bool gd_peer_flush(struct gd *gd)
@@ -274,6 +281,7 @@
 {
 	struct gd_peer_write *write = g_new0(struct gd_peer_write, 1);
 	uv_buf_t buf;
+	int ret;
 
 	write->buf = peer->queue;
 	write->conn = peer->conn;
@@ -281,12 +289,13 @@
 	peer->queue = GB_BUF_INIT;
 	peer->writing += write->buf.len;
 	buf = uv_buf_init(write->buf.ptr, write->buf.len);
-	if (!uv_write(&write->req, (uv_stream_t *)&peer->conn->tcp, &buf, 1,
-		      on_written))
+	ret = uv_write(&write->req, (uv_stream_t *)&peer->conn->tcp, &buf, 1,
+		       on_written);
+	if (!ret)
 		return;
 	gb_buf_free(&write->buf);
 	g_free(write);
-	peer_drop(peer);
+	peer_drop(peer, ret);
 }
 
 static void on_written(uv_write_t *req, int status)
@@ -299,7 +308,7 @@
 	gb_buf_free(&write->buf);
 	g_free(write);
 	if (peer && status)
-		peer_drop(peer);
+		peer_drop(peer, status);
 }
 
 static void on_connection(uv_stream_t *listener, int status)
@@ -354,8 +363,8 @@
 		msg_free(msg);
 	}
 	if (ret < 0) {
-		gd_event(gd, EV_PEER_BAD_MESSAGE, GB_STR(""), GB_STR(""),
-			 err.code, 0);
+		gd_event(gd, EV_PEER_BAD_MESSAGE, GB_STR(""), GB_STR(""), 0,
+			 err.code);
 		uv_close((uv_handle_t *)stream, on_inbound_closed);
 	}
 }
--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -11,7 +11,7 @@
 	struct gd_upstream_cancel *cancel; /* under way, else NULL */
 	gb_time deadline;
 	bool not_run; /* the upstream says that it did not run it */
-	bool echoed;  /* the answer names this attempt */
+	bool echoed; /* the answer names this attempt */
 	bool shard_echoed;
 };
 
@@ -241,7 +241,8 @@
 	drop_cancel(call);
 	if (call->result.status == ND_UPSTREAM_MISMATCH)
 		gd_event(call->gd, EV_UPSTREAM_MISMATCH, GB_STR(""),
-			 call->call.replica, call->call.shard, 0);
+			 call->call.replica, (int64_t)call->call.call,
+			 call->result.snapshot);
 }
 
 static void call_release(struct gd_exchange *x)
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -38,7 +38,7 @@
 enum gd_phase {
 	GD_RUNNING,
 	GD_STOPPING, /* the node finishes its work */
-	GD_FLUSHING  /* the last answers leave */
+	GD_FLUSHING /* the last answers leave */
 };
 
 struct gd_loop {
@@ -200,7 +200,7 @@
 enum gd_outcome {
 	GD_ANSWERED, /* a whole answer */
 	GD_NOT_SENT, /* certain: no byte was sent */
-	GD_LOST,     /* the connection failed after sending */
+	GD_LOST, /* the connection failed after sending */
 	GD_TIMEOUT,
 	GD_REJECTED /* by head() of the exchange */
 };
@@ -211,7 +211,7 @@
 	uint32_t limit;
 	uint32_t active;
 	GQueue waiting; /* of struct gd_exchange */
-	bool pumping;	/* a deferred start is due */
+	bool pumping; /* a deferred start is due */
 };
 
 struct gd_exchange {
