--- a/packages/node/nd-order.c
+++ b/packages/node/nd-order.c
@@ -181,7 +181,7 @@
 	int index = cfg_find_service(cfg, order->service);
 	const struct cfg_service *service;
 	struct msg_sub sub;
-	struct msg msg = { .kind = MSG_SUB_BATCH };
+	struct msg msg = { .kind = MSG_QUERY_BATCH };
 	int owner;
 
 	order->state = ND_ORDER_DUE;
--- a/packages/node/nd-peer.c
+++ b/packages/node/nd-peer.c
@@ -5,7 +5,7 @@
 static const handler handlers[MSG_KINDS] = {
 	[MSG_HEARTBEAT] = nd_on_heartbeat,
 	[MSG_HEARTBEAT_REPLY] = nd_on_heartbeat_reply,
-	[MSG_SUB_BATCH] = nd_on_batch,
+	[MSG_QUERY_BATCH] = nd_on_batch,
 	[MSG_RESULT] = nd_on_result,
 	[MSG_CANCEL] = nd_on_cancel,
 	[MSG_VOTE] = nd_on_vote,
--- a/packages/node/nd-query.c
+++ b/packages/node/nd-query.c
@@ -35,7 +35,7 @@
 		       struct msg_sub *subs, uint32_t len, bool canary)
 {
 	struct msg msg = {
-		.kind = MSG_SUB_BATCH,
+		.kind = MSG_QUERY_BATCH,
 		.batch = {
 			.query = query->number,
 			.config_version = cfg_store_version(&node->store),
