--- /dev/null
+++ b/packages/json/js-answer.c
@@ -0,0 +1,197 @@
+#include "json/js.h"
+#include "json/js-text.h"
+
+#include <string.h>
+
+#define NAME(text)                                   \
+	{                                            \
+		.ptr = text, .len = sizeof(text) - 1 \
+	}
+
+static const struct gb_str reasons[] = {
+	[ND_DEGRADED_TIMEOUT] = NAME("\"timeout\""),
+	[ND_DEGRADED_OVERLOAD] = NAME("\"overload\""),
+	[ND_DEGRADED_UNAVAILABLE] = NAME("\"unavailable\""),
+	[ND_DEGRADED_SNAPSHOT] = NAME("\"snapshot\""),
+	[ND_DEGRADED_FAILED] = NAME("\"failed\""),
+};
+
+static struct gb_str trim(struct gb_str s);
+static bool is_array(struct gb_str body);
+static bool single_value(const struct nd_answer *answer);
+static bool bodies_ok(const struct nd_answer *answer, bool single);
+static void put_coverage(const struct nd_answer *answer, struct gb_buf *out);
+static void put_head(const struct nd_answer *answer, struct gb_buf *out);
+static void put_results(const struct nd_answer *answer, struct gb_buf *out);
+static void put_error(const struct gb_error *err, struct gb_buf *out);
+static void put_refusal(struct gb_str id, enum gb_code code,
+			struct gb_buf *out);
+
+/* Removes JSON's white space, which is less than gb_str_trim() removes. */
+static struct gb_str trim(struct gb_str s)
+{
+	const char *space = " \t\r\n";
+
+	while (s.len && memchr(space, s.ptr[0], 4))
+		s = gb_str_sub(s, 1, s.len);
+	while (s.len && memchr(space, s.ptr[s.len - 1], 4))
+		s.len--;
+	return s;
+}
+
+/* For bodies that were found to be JSON. */
+static bool is_array(struct gb_str body)
+{
+	body = trim(body);
+	return body.len && body.ptr[0] == '[';
+}
+
+bool js_body_check(struct gb_str body, bool order)
+{
+	if (order)
+		return !body.len || js_scan(body);
+	return js_scan(body) && is_array(body);
+}
+
+/* Tells whether the body is passed on whole, under "result". */
+static bool single_value(const struct nd_answer *answer)
+{
+	return answer->order ||
+	       (answer->bodies_len == 1 && js_scan(answer->bodies[0]) &&
+		!is_array(answer->bodies[0]));
+}
+
+static bool bodies_ok(const struct nd_answer *answer, bool single)
+{
+	for (uint32_t i = 0; i < answer->bodies_len; i++)
+		if (!js_body_check(answer->bodies[i], single))
+			return false;
+	return true;
+}
+
+/*
+ * Six decimals, rounded down: a rounded-up figure would report documents that
+ * were not searched.
+ */
+static void put_coverage(const struct nd_answer *answer, struct gb_buf *out)
+{
+	uint32_t parts;
+	char text[] = "0.000000";
+	size_t len = sizeof(text) - 1;
+
+	if (answer->docs_searched >= answer->docs_total) {
+		gb_buf_addc(out, '1');
+		return;
+	}
+	parts = (unsigned __int128)answer->docs_searched * 1000000 /
+		answer->docs_total;
+	for (size_t i = len - 1; i > 1; i--, parts /= 10)
+		text[i] = '0' + parts % 10;
+	while (text[len - 1] == '0' && len > 1)
+		len--;
+	if (text[len - 1] == '.')
+		len--;
+	gb_buf_add(out, (struct gb_str){ .ptr = text, .len = len });
+}
+
+static void put_head(const struct nd_answer *answer, struct gb_buf *out)
+{
+	gb_buf_add(out, GB_STR("{\"request\":"));
+	js_put_str(out, answer->id);
+	gb_buf_add(out, GB_STR(",\"status\":\"ok\",\"snapshot\":"));
+	js_put_u64(out, answer->snapshot);
+	gb_buf_add(out, GB_STR(",\"coverage\":"));
+	put_coverage(answer, out);
+	gb_buf_add(out, GB_STR(",\"documents\":{\"searched\":"));
+	js_put_u64(out, answer->docs_searched);
+	gb_buf_add(out, GB_STR(",\"total\":"));
+	js_put_u64(out, answer->docs_total);
+	gb_buf_add(out, GB_STR("},\"degraded\":"));
+	if (answer->degraded && answer->degraded < G_N_ELEMENTS(reasons))
+		gb_buf_add(out, reasons[answer->degraded]);
+	else
+		gb_buf_add(out, GB_STR("null"));
+	gb_buf_add(out, GB_STR(",\"elapsed_us\":"));
+	js_put_u64(out, MAX(answer->elapsed, 0));
+	gb_buf_add(out, GB_STR(",\"sub_requests\":"));
+	js_put_u64(out, answer->sub_requests);
+	gb_buf_add(out, GB_STR(",\"replayed\":"));
+	gb_buf_add(out, answer->replayed ? GB_STR("true") : GB_STR("false"));
+}
+
+/* Joins the elements of the bodies, which are arrays, into one array. */
+static void put_results(const struct nd_answer *answer, struct gb_buf *out)
+{
+	bool first = true;
+
+	gb_buf_add(out, GB_STR(",\"results\":["));
+	for (uint32_t i = 0; i < answer->bodies_len; i++) {
+		struct gb_str body = trim(answer->bodies[i]);
+		struct gb_str items = trim(gb_str_sub(body, 1, body.len - 2));
+
+		if (!items.len)
+			continue;
+		if (!first)
+			gb_buf_addc(out, ',');
+		gb_buf_add(out, items);
+		first = false;
+	}
+	gb_buf_add(out, GB_STR("]}"));
+}
+
+static void put_error(const struct gb_error *err, struct gb_buf *out)
+{
+	struct gb_buf text = GB_BUF_INIT;
+
+	gb_error_text(err, &text);
+	gb_buf_add(out, GB_STR("\"status\":"));
+	js_put_str(out, gb_code_name(err->code));
+	gb_buf_add(out, GB_STR(",\"message\":"));
+	js_put_str(out, gb_buf_str(&text));
+	gb_buf_free(&text);
+}
+
+void js_error_encode(const struct gb_error *err, struct gb_buf *out)
+{
+	gb_buf_addc(out, '{');
+	put_error(err, out);
+	gb_buf_addc(out, '}');
+}
+
+static void put_refusal(struct gb_str id, enum gb_code code, struct gb_buf *out)
+{
+	struct gb_error err = { .code = code };
+
+	gb_buf_add(out, GB_STR("{\"request\":"));
+	js_put_str(out, id);
+	gb_buf_addc(out, ',');
+	put_error(&err, out);
+	gb_buf_addc(out, '}');
+}
+
+int js_answer_encode(const struct nd_answer *answer, struct gb_buf *out)
+{
+	bool single = single_value(answer);
+
+	if (answer->code != GB_OK) {
+		put_refusal(answer->id, answer->code, out);
+		return 0;
+	}
+	if (!bodies_ok(answer, single)) {
+		put_refusal(answer->id,
+			    single ? GB_ERR_UNKNOWN_OUTCOME : GB_ERR_IO, out);
+		return -1;
+	}
+	put_head(answer, out);
+	if (!single) {
+		put_results(answer, out);
+		return 0;
+	}
+	gb_buf_add(out, GB_STR(",\"result\":"));
+	if (answer->bodies_len && answer->bodies[0].len)
+		gb_buf_add(out, answer->bodies[0]);
+	else
+		gb_buf_add(out, GB_STR("null"));
+	gb_buf_addc(out, '}');
+	return 0;
+}
--- a/packages/json/js-dump.c
+++ b/packages/json/js-dump.c
@@ -50,6 +50,7 @@
 
 void js_dump(json_t *json, struct gb_buf *out)
 {
-	json_dump_callback(json, add_text, out, JSON_COMPACT);
+	json_dump_callback(json, add_text, out,
+			   JSON_COMPACT | JSON_REAL_PRECISION(6));
 	json_decref(json);
 }
--- /dev/null
+++ b/packages/json/js-intent.c
@@ -0,0 +1,106 @@
+#include "json/js.h"
+#include "json/js-config.h"
+#include "json/js-dump.h"
+#include "json/js-field.h"
+#include "json/js-intent.h"
+
+struct intent_form {
+	struct gb_str kind;
+	struct gb_str target;
+	struct gb_str field;
+	int64_t value; /* -1 if left out */
+	json_t *part;
+};
+
+static const struct js_field fields[] = {
+	{ .key = JS_NAME("intent"),
+	  .read = js_read_str,
+	  .offset = offsetof(struct intent_form, kind),
+	  .need = JS_REQUIRED },
+	{ .key = JS_NAME("target"),
+	  .read = js_read_str,
+	  .offset = offsetof(struct intent_form, target) },
+	{ .key = JS_NAME("field"),
+	  .read = js_read_str,
+	  .offset = offsetof(struct intent_form, field) },
+	{ .key = JS_NAME("value"),
+	  .read = js_read_i64,
+	  .offset = offsetof(struct intent_form, value),
+	  .max = INT64_MAX },
+	{ .key = JS_NAME("part"),
+	  .read = js_read_child,
+	  .offset = offsetof(struct intent_form, part) },
+};
+
+json_t *js_intent_to_json(const struct pln_intent *intent)
+{
+	json_t *json = json_object();
+
+	js_set_str(json, "intent", pln_kind_name(intent->kind));
+	if (intent->target.len)
+		js_set_str(json, "target", intent->target);
+	if (intent->field.len)
+		js_set_str(json, "field", intent->field);
+	if (intent->value || intent->kind == PLN_LIMIT_SET)
+		js_set_int(json, "value", intent->value);
+	if (intent->part)
+		js_set(json, "part", js_config_to_json(intent->part, true));
+	return json;
+}
+
+/* What a kind needs besides the value of a limit is checked by pln_apply(). */
+int js_intent_from_json(json_t *json, struct pln_intent *intent,
+			struct gb_error *err)
+{
+	struct intent_form form = { .value = -1 };
+	struct cfg *part = NULL;
+	enum pln_kind kind;
+
+	if (js_read_object(json, GB_STR("intent"), fields, G_N_ELEMENTS(fields),
+			   false, &form, err))
+		return -1;
+	kind = pln_kind_from_name(form.kind);
+	if (kind == PLN_KINDS)
+		return gb_fail(err, GB_ERR_REFERENCE, form.kind, 0);
+	if (kind == PLN_LIMIT_SET && form.value < 0)
+		return gb_fail(err, GB_ERR_MISSING, GB_STR("value"), 0);
+	if (form.part) {
+		part = js_config_from_json(form.part, true, err);
+		if (!part)
+			return -1;
+	}
+	*intent = (struct pln_intent){
+		.kind = kind,
+		.target = gb_str_dup(form.target),
+		.field = gb_str_dup(form.field),
+		.value = MAX(form.value, 0),
+		.part = part,
+	};
+	return 0;
+}
+
+int js_intent_decode(struct gb_str text, struct pln_intent *intent,
+		     struct gb_error *err)
+{
+	json_t *json = js_parse(text, err);
+	int ret;
+
+	if (!json)
+		return -1;
+	ret = js_intent_from_json(json, intent, err);
+	json_decref(json);
+	return ret;
+}
+
+void js_intent_encode(const struct pln_intent *intent, struct gb_buf *out)
+{
+	js_dump(js_intent_to_json(intent), out);
+}
+
+void js_intent_free(struct pln_intent *intent)
+{
+	gb_str_free(&intent->target);
+	gb_str_free(&intent->field);
+	cfg_unref(intent->part);
+	intent->part = NULL;
+}
--- /dev/null
+++ b/packages/json/js-scan.c
@@ -0,0 +1,169 @@
+#include "json/js-text.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Bounds the recursion on hostile input. */
+#define DEPTH_MAX 100
+
+struct scan {
+	const char *at;
+	const char *end;
+	bool wide; /* a byte of 0x80 or above was seen */
+};
+
+static bool next_is(struct scan *scan, char c);
+static void skip_space(struct scan *scan);
+static bool scan_digits(struct scan *scan);
+static bool scan_number(struct scan *scan);
+static bool scan_escape(struct scan *scan);
+static bool scan_string(struct scan *scan);
+static bool scan_literal(struct scan *scan, struct gb_str literal);
+static bool scan_member(struct scan *scan, int depth);
+static bool scan_items(struct scan *scan, char close, int depth,
+		       bool (*item)(struct scan *scan, int depth));
+static bool scan_value(struct scan *scan, int depth);
+
+/* Steps over the next byte if it is c. */
+static bool next_is(struct scan *scan, char c)
+{
+	if (scan->at == scan->end || *scan->at != c)
+		return false;
+	scan->at++;
+	return true;
+}
+
+static void skip_space(struct scan *scan)
+{
+	while (scan->at < scan->end && (*scan->at == ' ' || *scan->at == '\n' ||
+					*scan->at == '\t' || *scan->at == '\r'))
+		scan->at++;
+}
+
+static bool scan_digits(struct scan *scan)
+{
+	const char *from = scan->at;
+
+	while (scan->at < scan->end && g_ascii_isdigit(*scan->at))
+		scan->at++;
+	return scan->at > from;
+}
+
+static bool scan_number(struct scan *scan)
+{
+	next_is(scan, '-');
+	if (!next_is(scan, '0') && !scan_digits(scan))
+		return false;
+	if (next_is(scan, '.') && !scan_digits(scan))
+		return false;
+	if (!next_is(scan, 'e') && !next_is(scan, 'E'))
+		return true;
+	if (!next_is(scan, '+'))
+		next_is(scan, '-');
+	return scan_digits(scan);
+}
+
+/* Scans what follows a backslash. */
+static bool scan_escape(struct scan *scan)
+{
+	char c;
+
+	if (scan->at == scan->end)
+		return false;
+	c = *scan->at++;
+	if (c != 'u')
+		return c && strchr("\"\\/bfnrt", c);
+	for (int i = 0; i < 4; i++, scan->at++)
+		if (scan->at == scan->end || !g_ascii_isxdigit(*scan->at))
+			return false;
+	return true;
+}
+
+static bool scan_string(struct scan *scan)
+{
+	if (!next_is(scan, '"'))
+		return false;
+	while (scan->at < scan->end) {
+		unsigned char byte = *scan->at++;
+
+		if (byte == '"')
+			return true;
+		if (byte < 0x20 || (byte == '\\' && !scan_escape(scan)))
+			return false;
+		scan->wide |= byte >= 0x80;
+	}
+	return false;
+}
+
+static bool scan_literal(struct scan *scan, struct gb_str literal)
+{
+	struct gb_str rest = { .ptr = scan->at, .len = scan->end - scan->at };
+
+	if (!gb_str_starts_with(rest, literal))
+		return false;
+	scan->at += literal.len;
+	return true;
+}
+
+static bool scan_member(struct scan *scan, int depth)
+{
+	skip_space(scan);
+	if (!scan_string(scan))
+		return false;
+	skip_space(scan);
+	return next_is(scan, ':') && scan_value(scan, depth);
+}
+
+/* Scans items between commas up to the closing bracket. */
+static bool scan_items(struct scan *scan, char close, int depth,
+		       bool (*item)(struct scan *scan, int depth))
+{
+	skip_space(scan);
+	if (next_is(scan, close))
+		return true;
+	do {
+		if (!item(scan, depth))
+			return false;
+		skip_space(scan);
+	} while (next_is(scan, ','));
+	return next_is(scan, close);
+}
+
+static bool scan_value(struct scan *scan, int depth)
+{
+	if (depth > DEPTH_MAX)
+		return false;
+	skip_space(scan);
+	if (scan->at == scan->end)
+		return false;
+	switch (*scan->at) {
+	case '{':
+		scan->at++;
+		return scan_items(scan, '}', depth + 1, scan_member);
+	case '[':
+		scan->at++;
+		return scan_items(scan, ']', depth + 1, scan_value);
+	case '"':
+		return scan_string(scan);
+	case 't':
+		return scan_literal(scan, GB_STR("true"));
+	case 'f':
+		return scan_literal(scan, GB_STR("false"));
+	case 'n':
+		return scan_literal(scan, GB_STR("null"));
+	default:
+		return scan_number(scan);
+	}
+}
+
+bool js_scan(struct gb_str text)
+{
+	struct scan scan = { .at = text.ptr, .end = text.ptr + text.len };
+
+	if (!text.len || !scan_value(&scan, 0))
+		return false;
+	skip_space(&scan);
+	if (scan.at != scan.end)
+		return false;
+	return !scan.wide || g_utf8_validate_len(text.ptr, text.len, NULL);
+}
--- a/packages/json/js.h
+++ b/packages/json/js.h
@@ -16,8 +16,20 @@
 void js_config_encode(const struct cfg *cfg, struct gb_buf *out);
 struct cfg *js_config_decode(struct gb_str text, struct gb_error *err);
 
-/* The body of an answer or a refusal for a caller. */
-void js_answer_encode(const struct nd_answer *answer, struct gb_buf *out);
+/*
+ * Tells whether the body of an upstream's answer is one JSON text: an array,
+ * or for an order any value or nothing. To be asked before the documents of
+ * the answer count, as an answer that cannot be passed on covers none.
+ */
+bool js_body_check(struct gb_str body, bool order);
+
+/*
+ * The body of an answer or a refusal for a caller. Returns -1 after encoding
+ * a refusal when one of the bodies does not pass js_body_check(): status "io",
+ * or "unknown_outcome" for an order, since that may have run. A single body
+ * that is no array is passed on under "result", as that of an order is.
+ */
+int js_answer_encode(const struct nd_answer *answer, struct gb_buf *out);
 void js_error_encode(const struct gb_error *err, struct gb_buf *out);
 
 /* An intent as an operator writes it; the parts are owned. */
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -105,6 +105,7 @@
 	enum nd_degraded degraded;
 	gb_time elapsed;
 	uint32_t sub_requests;
+	bool order;    /* the one body may be any value */
 	bool replayed; /* outcome of an earlier run of the same order */
 	/* One body per answered shard, in shard order. */
 	const struct gb_str *bodies;
