--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -32,9 +32,9 @@
 static const struct kind_row kinds[MSG_KINDS] = {
 	[MSG_HEARTBEAT] = { .name = NAME("heartbeat") },
 	[MSG_HEARTBEAT_REPLY] = { .name = NAME("heartbeat_reply") },
-	[MSG_BATCH] = { .name = NAME("batch"),
-			.own = own_batch,
-			.drop = drop_batch },
+	[MSG_QUERY_BATCH] = { .name = NAME("batch"),
+			      .own = own_batch,
+			      .drop = drop_batch },
 	[MSG_RESULT] = { .name = NAME("result"),
 			 .own = own_result,
 			 .drop = drop_result },
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -23,7 +23,7 @@
 enum msg_kind {
 	MSG_HEARTBEAT,
 	MSG_HEARTBEAT_REPLY,
-	MSG_BATCH,
+	MSG_QUERY_BATCH, /* <sys/socket.h> defines MSG_BATCH */
 	MSG_RESULT,
 	MSG_CANCEL,
 	MSG_VOTE,
