--- a/packages/policy/pol.c
+++ b/packages/policy/pol.c
@@ -88,7 +88,12 @@
 static bool may_retry(const struct pol_view *view, enum pol_failure failure,
 		      uint32_t attempts_max)
 {
-	if (view->time_left <= 0 || view->attempts >= attempts_max)
+	if (view->time_left <= 0)
+		return false;
+	/* Bounded by the replicas: each may say so once. */
+	if (failure == POL_SNAPSHOT_GONE)
+		return !view->order;
+	if (view->attempts >= attempts_max)
 		return false;
 	/* Only a refusal is certain not to have run the order. */
 	return !view->order || failure == POL_REFUSED;
--- /dev/null
+++ b/packages/policy/tests/policy-test.c
@@ -0,0 +1,135 @@
+#include "policy/pol.h"
+#include "script/scr.h"
+
+#include <glib.h>
+
+struct ctx {
+	struct met_hist times;
+	struct pol_budget budget;
+};
+
+static void cmd_times(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out);
+static void cmd_delay(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out);
+static void cmd_retry(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out);
+static void cmd_budget(void *ctx, const struct scr_args *args,
+		       struct gb_buf *out);
+static void cmd_policies(void *ctx, const struct scr_args *args,
+			 struct gb_buf *out);
+
+static const struct scr_command commands[] = {
+	{ .name = { "times", 5 }, .run = cmd_times },
+	{ .name = { "delay", 5 }, .run = cmd_delay },
+	{ .name = { "retry", 5 }, .run = cmd_retry },
+	{ .name = { "budget", 6 }, .run = cmd_budget },
+	{ .name = { "policies", 8 }, .run = cmd_policies },
+};
+
+static void *open_ctx(void)
+{
+	return g_new0(struct ctx, 1);
+}
+
+/* Adds samples of 1 ms, 2 ms and so on. */
+static void cmd_times(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *c = ctx;
+	int64_t n = scr_int(args, GB_STR("n"), 0);
+
+	(void)out;
+	for (int64_t i = 1; i <= n; i++)
+		met_hist_add(&c->times, i * scr_int(args, GB_STR("us"), 1000));
+}
+
+static struct pol_view view_of(struct ctx *c, const struct scr_args *args)
+{
+	return (struct pol_view){
+		.times = &c->times,
+		.budget_level = scr_double(args, GB_STR("level"), 1),
+		.time_left = scr_int(args, GB_STR("left"), 10000) * GB_MSEC,
+		.attempts = scr_int(args, GB_STR("attempts"), 1),
+		.order = scr_int(args, GB_STR("order"), 0),
+	};
+}
+
+/* Prints whether the delay lies in a range, in ms, or is none. */
+static void cmd_delay(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	const struct pol_view view = view_of(ctx, args);
+	gb_time delay = pol_find(scr_word(args, 0))->hedge_delay(&view);
+	gb_time min = scr_int(args, GB_STR("min"), 0) * GB_MSEC;
+	gb_time max = scr_int(args, GB_STR("max"), 0) * GB_MSEC;
+
+	if (delay == GB_NEVER)
+		gb_buf_add(out, GB_STR("no hedge\n"));
+	else if (delay >= min && delay <= max)
+		gb_buf_add(out, GB_STR("in range\n"));
+	else
+		gb_buf_addf(out, "%.3f ms\n", (double)delay / GB_MSEC);
+}
+
+static void cmd_retry(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	static const char *const names[] = { "refused", "reset", "timeout",
+					     "error", "gone" };
+	const struct pol_view view = view_of(ctx, args);
+	const struct pol_ops *ops = pol_find(scr_word(args, 0));
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		gb_buf_addf(out, "%s=%s ", names[i],
+			    ops->retry(&view, i) ? "yes" : "no");
+	gb_buf_addc(out, '\n');
+}
+
+/* Counts the extra attempts that a number of requests allow. */
+static void cmd_budget(void *ctx, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *c = ctx;
+	int64_t requests = scr_int(args, GB_STR("requests"), 0);
+	uint32_t taken = 0;
+
+	pol_budget_init(&c->budget, scr_int(args, GB_STR("permille"), 30));
+	while (pol_budget_take(&c->budget))
+		taken++;
+	gb_buf_addf(out, "at first %u", taken);
+	for (int64_t i = 0; i < requests; i++) {
+		pol_budget_request(&c->budget);
+		taken += pol_budget_take(&c->budget);
+	}
+	gb_buf_addf(out, ", later %u, level %.1f\n", taken,
+		    pol_budget_level(&c->budget));
+}
+
+static void cmd_policies(void *ctx, const struct scr_args *args,
+			 struct gb_buf *out)
+{
+	size_t len;
+	const struct pol_ops *const *all = pol_all(&len);
+
+	(void)ctx;
+	for (size_t i = 0; i < len; i++)
+		gb_buf_addf(out, "%.*s patience=%.2f\n", (int)all[i]->name.len,
+			    all[i]->name.ptr, all[i]->patience(0.5));
+	gb_buf_addf(out, "unknown name: %s\n",
+		    pol_find(scr_word(args, 0)) ? "found" : "none");
+}
+
+int main(int argc, char **argv)
+{
+	const struct scr_suite suite = {
+		.name = "policy",
+		.folder = "packages/policy/tests",
+		.commands = commands,
+		.commands_len = G_N_ELEMENTS(commands),
+		.open = open_ctx,
+		.close = g_free,
+	};
+
+	return scr_main(argc, argv, &suite);
+}
--- /dev/null
+++ b/packages/suspect/tests/suspect-test.c
@@ -0,0 +1,85 @@
+#include "script/scr.h"
+#include "suspect/sus.h"
+
+#include <glib.h>
+
+static void cmd_run(void *ctx, const struct scr_args *args, struct gb_buf *out);
+static void cmd_table(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out);
+
+static const char *const states[] = { "unknown", "canary", "good",
+				      "suspect", "alone",  "quarantined" };
+
+static const struct scr_command commands[] = {
+	{ .name = { "table", 5 }, .run = cmd_table },
+	{ .name = { "run", 3 }, .run = cmd_run },
+};
+
+struct ctx {
+	struct sus_table *table;
+};
+
+static void *open_ctx(void)
+{
+	return g_new0(struct ctx, 1);
+}
+
+static void close_ctx(void *ctx)
+{
+	struct ctx *c = ctx;
+
+	sus_free(c->table);
+	g_free(c);
+}
+
+static void cmd_table(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *c = ctx;
+
+	(void)out;
+	sus_free(c->table);
+	c->table = sus_new(scr_int(args, GB_STR("max"), 100),
+			   scr_int(args, GB_STR("quarantine"), 1000));
+}
+
+/* Applies each plain word to one fingerprint, then prints its state. */
+static void cmd_run(void *ctx, const struct scr_args *args, struct gb_buf *out)
+{
+	struct sus_table *t = ((struct ctx *)ctx)->table;
+	uint64_t fp = scr_int(args, GB_STR("fp"), 1);
+	gb_time now = scr_int(args, GB_STR("at"), 0);
+
+	for (size_t i = 0; i < args->len; i++) {
+		struct gb_str word = scr_word(args, i);
+
+		if (gb_str_eq(word, GB_STR("begin")))
+			sus_begin(t, now, fp);
+		else if (gb_str_eq(word, GB_STR("success")))
+			sus_success(t, now, fp);
+		else if (gb_str_eq(word, GB_STR("crash")))
+			sus_crash(t, now, fp);
+		else if (gb_str_eq(word, GB_STR("abandon")))
+			sus_abandon(t, fp);
+		else if (gb_str_starts_with(word, GB_STR("learn")))
+			sus_learn(t, now, fp,
+				  scr_int(args, GB_STR("learn"), 0));
+	}
+	gb_buf_addf(out, "%s crashes=%u entries=%zu\n",
+		    states[sus_state(t, now, fp)], sus_crashes(t, fp),
+		    sus_len(t));
+}
+
+int main(int argc, char **argv)
+{
+	const struct scr_suite suite = {
+		.name = "suspect",
+		.folder = "packages/suspect/tests",
+		.commands = commands,
+		.commands_len = G_N_ELEMENTS(commands),
+		.open = open_ctx,
+		.close = close_ctx,
+	};
+
+	return scr_main(argc, argv, &suite);
+}
--- /dev/null
+++ b/packages/upstream/tests/upstream-test.c
@@ -0,0 +1,92 @@
+#include "script/scr.h"
+#include "upstream/up.h"
+
+#include <glib.h>
+
+static void cmd_init(void *ctx, const struct scr_args *args,
+		     struct gb_buf *out);
+static void cmd_done(void *ctx, const struct scr_args *args,
+		     struct gb_buf *out);
+static void cmd_better(void *ctx, const struct scr_args *args,
+		       struct gb_buf *out);
+
+static const char *const outcomes[] = { "ok",	   "refused", "reset",
+					"timeout", "error",   "cancelled",
+					"not_sent" };
+
+static const struct scr_command commands[] = {
+	{ .name = { "init", 4 }, .run = cmd_init },
+	{ .name = { "done", 4 }, .run = cmd_done },
+	{ .name = { "better", 6 }, .run = cmd_better },
+};
+
+static void *open_ctx(void)
+{
+	return g_new0(struct up_upstream, 1);
+}
+
+static void cmd_init(void *ctx, const struct scr_args *args, struct gb_buf *out)
+{
+	const struct cfg_limits limits = {
+		.slots = scr_int(args, GB_STR("slots"), 3),
+		.queue = scr_int(args, GB_STR("queue"), 2),
+		.cold_slots = scr_int(args, GB_STR("cold"), 1),
+		.ramp = scr_int(args, GB_STR("ramp"), 100) * GB_MSEC,
+	};
+
+	(void)out;
+	up_init(ctx, &limits);
+}
+
+/* Sends one request that ends at a time, in ms, and prints the limit. */
+static void cmd_done(void *ctx, const struct scr_args *args, struct gb_buf *out)
+{
+	struct up_upstream *up = ctx;
+	gb_time now = scr_int(args, GB_STR("at"), 0) * GB_MSEC;
+	size_t outcome = 0;
+	bool cold;
+
+	while (!gb_str_eq(gb_str_from_c(outcomes[outcome]), scr_word(args, 0)))
+		outcome++;
+	up_sent(up, now);
+	cold = up_done(up, now, outcome, scr_int(args, GB_STR("instance"), 0),
+		       scr_int(args, GB_STR("taken"), 10) * GB_MSEC);
+	gb_buf_addf(out, "limit=%u%s mean=%.2f ms\n", up_limit(up, now),
+		    cold ? " became cold" : "", up->time_mean / GB_MSEC);
+}
+
+/* Compares two warm upstreams by calls in flight, mean and reported load. */
+static void cmd_better(void *ctx, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	const struct cfg_limits limits = { .slots = 2, .cold_slots = 1 };
+	struct up_upstream a, b;
+
+	(void)ctx;
+	up_init(&a, &limits);
+	a.state = UP_WARM;
+	a.time_mean = (double)(scr_int(args, GB_STR("mean"), 10) * GB_MSEC);
+	b = a;
+	a.in_flight = scr_int(args, GB_STR("in_flight"), 0);
+	a.reported_load = scr_int(args, GB_STR("load"), 0);
+	b.in_flight = scr_int(args, GB_STR("other_in_flight"), 0);
+	b.reported_load = scr_int(args, GB_STR("other_load"), 0);
+	b.time_mean =
+		(double)(scr_int(args, GB_STR("other_mean"), 10) * GB_MSEC);
+	gb_buf_add(out, up_score(&a, 0) < up_score(&b, 0) ? GB_STR("first\n")
+							  : GB_STR("other\n"));
+}
+
+int main(int argc, char **argv)
+{
+	const struct scr_suite suite = {
+		.name = "upstream",
+		.folder = "packages/upstream/tests",
+		.commands = commands,
+		.commands_len = G_N_ELEMENTS(commands),
+		.open = open_ctx,
+		.close = g_free,
+	};
+
+	return scr_main(argc, argv, &suite);
+}
--- a/packages/upstream/up.h
+++ b/packages/upstream/up.h
@@ -45,7 +45,7 @@
 	uint32_t failures;  /* consecutive */
 	gb_time open_until; /* circuit breaker; 0 when closed */
 	gb_time pause;	    /* of the breaker, doubles */
-	double time_mean;   /* of successes, in microseconds */
+	double time_mean;   /* expected service time, in microseconds */
 	uint32_t reported_load;
 	bool exclusive; /* in use by one suspect request alone */
 	bool closed;	/* drained or its data centre is out: no new work */
