--- a/packages/shard/shd-hedge.c
+++ b/packages/shard/shd-hedge.c
@@ -1,20 +1,20 @@
 #include "shard/shd-internal.h"
 
 static gb_time delay_of(const struct shd_shard *shard,
-			const struct shd_entry *entry);
+			const struct shd_entry *entry, gb_time sent);
 static const struct shd_call *only_call(const struct shd_entry *entry);
 static struct shd_replica *idle_replica(const struct shd_shard *shard,
 					uint64_t not );
 static bool may_hedge(const struct shd_entry *entry);
 
 static gb_time delay_of(const struct shd_shard *shard,
-			const struct shd_entry *entry)
+			const struct shd_entry *entry, gb_time sent)
 {
 	const struct shd_service *service = shard->shared;
 	const struct pol_view view = {
 		.times = &service->times,
 		.budget_level = pol_budget_level(&service->budget),
-		.time_left = entry->req.deadline - shard->now,
+		.time_left = entry->req.deadline - sent,
 		.attempts = entry->attempts,
 		.order = entry->req.order,
 	};
@@ -45,7 +45,7 @@
 	gb_time delay = GB_NEVER;
 
 	if (may_hedge(entry))
-		delay = delay_of(shard, entry);
+		delay = delay_of(shard, entry, shard->now);
 	entry->hedge_at = delay == GB_NEVER ? GB_NEVER : shard->now + delay;
 }
 
@@ -78,12 +78,13 @@
 	gb_time delay;
 
 	entry->hedge_at = GB_NEVER;
-	if (!may_hedge(entry) || !shd_lease_held(shard)) {
+	if (!may_hedge(entry) || !shd_lease_held(shard) ||
+	    !shd_meets_deadline(shard, entry)) {
 		shd_arm(shard, entry);
 		return;
 	}
 	/* The delay may have risen since the send, as the budget fell. */
-	delay = delay_of(shard, entry);
+	delay = delay_of(shard, entry, call->sent);
 	if (delay == GB_NEVER) {
 		shd_arm(shard, entry);
 		return;
--- a/packages/shard/shd-suspect.c
+++ b/packages/shard/shd-suspect.c
@@ -50,7 +50,7 @@
 		return false;
 	state = sus_state(shard->suspects, shard->now,
 			  call->entry->req.fingerprint);
-	if (state == SUS_UNKNOWN)
+	if (state == SUS_UNKNOWN || state == SUS_CANARY)
 		return shd_vouched(shard, call->entry);
 	return state == SUS_GOOD || state == SUS_QUARANTINED;
 }
--- a/packages/shard/tests/shard-test.h
+++ b/packages/shard/tests/shard-test.h
@@ -70,6 +70,9 @@
 	w->shard = NULL;
 	w->suspects = NULL;
 	w->cfg = NULL;
+	w->metrics = (struct met_registry){ .counter = { 0 } };
+	w->calls = 0;
+	w->now = 0;
 }
 
 /* Changes the replica or data centre and lets the shard follow. */
