--- a/packages/daemon/gd-caller.c
+++ b/packages/daemon/gd-caller.c
@@ -113,7 +113,7 @@
 	if (body.len > parse->gd->settings.body_max)
 		return gb_fail(&parse->err, GB_ERR_BODY_TOO_LARGE,
 			       GB_STR("body"), body.len);
-	if (js_check(body, NULL))
+	if (!body.len || !js_body_check(body, true))
 		return gb_fail(&parse->err, GB_ERR_BAD_REQUEST, GB_STR("body"),
 			       body.len);
 	parse->request.body = body;
@@ -174,7 +174,10 @@
 	if (!waiting)
 		return;
 	req = gd_http_finish(gd, waiting);
-	js_answer_encode(answer, &body);
+	/* A body that cannot be passed on makes a refusal of the answer. */
+	if (js_answer_encode(answer, &body))
+		status = gd_http_status(answer->order ? GB_ERR_UNKNOWN_OUTCOME :
+							GB_ERR_IO);
 	add_retry_after(req, answer, status);
 	gd_http_add_header(req, GB_STR("request-id"), "%.*s",
 			   (int)answer->id.len, answer->id.ptr);
--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -258,6 +258,9 @@
 	struct gd_upstream_call *call = arg;
 
 	call->result.body = gb_buf_str(&call->x.body);
+	if (call->result.status == ND_UPSTREAM_OK &&
+	    !js_body_check(call->result.body, call->call.order))
+		call->result.status = ND_UPSTREAM_ERROR;
 	nd_upstream_done(gd->node, gd_clock(), &call->result);
 	gd_exchange_clear(&call->x);
 	gb_str_free(&call->call.service);
--- a/packages/json/js.h
+++ b/packages/json/js.h
@@ -12,9 +12,6 @@
 #include "node/nd.h"
 #include "plan/pln.h"
 
-/* Checks that text is one JSON value. */
-int js_check(struct gb_str text, struct gb_error *err);
-
 /* The version is not part of the text; the platform's object has it. */
 void js_config_encode(const struct cfg *cfg, struct gb_buf *out);
 struct cfg *js_config_decode(struct gb_str text, struct gb_error *err);
