--- a/packages/ctl/ctl-main.c
+++ b/packages/ctl/ctl-main.c
@@ -20,7 +20,7 @@
 			  struct argp_state *state);
 static void parse_vm(struct parse *parse, struct gb_str text,
 		     struct argp_state *state);
-static void add_default_server(struct ctl_line *line);
+static int add_default_server(struct ctl_line *line);
 static char *make_doc(void);
 static int check_line(const struct ctl_command *command,
 		      const struct ctl_line *line);
@@ -130,18 +130,20 @@
 	}
 }
 
-static void add_default_server(struct ctl_line *line)
+/* A wrong variable is an error: the default could be another server. */
+static int add_default_server(struct ctl_line *line)
 {
 	struct gb_str named = gb_str_from_c(getenv(SERVER_VARIABLE));
 
 	if (line->servers->len)
-		return;
-	if (named.len && !ctl_add_servers(line, named))
-		return;
-	if (named.len)
-		ctl_warn(GB_STR(SERVER_VARIABLE " is not HOST:PORT; using "
-						"" DEFAULT_SERVER));
-	ctl_add_servers(line, GB_STR(DEFAULT_SERVER));
+		return 0;
+	if (!named.len)
+		named = GB_STR(DEFAULT_SERVER);
+	if (!ctl_add_servers(line, named))
+		return 0;
+	ctl_warn(GB_STR(SERVER_VARIABLE " is not HOST:PORT with the host as "
+					"IP number"));
+	return -1;
 }
 
 /* Makes the text of --help from the command table. */
@@ -219,8 +221,7 @@
 		g_array_new(FALSE, FALSE, sizeof(struct ctl_server));
 	parse.line.words = g_array_new(FALSE, FALSE, sizeof(struct gb_str));
 	argp_parse(&argp, argc, argv, 0, NULL, &parse);
-	add_default_server(&parse.line);
-	status = run(&parse);
+	status = add_default_server(&parse.line) ? CTL_USAGE : run(&parse);
 	g_array_free(parse.line.servers, TRUE);
 	g_array_free(parse.line.words, TRUE);
 	g_free(doc);
--- a/packages/json/js-view.c
+++ b/packages/json/js-view.c
@@ -1,9 +1,9 @@
 #include "json/js-view.h"
 
 #include "event/ev.h"
+#include "json/js-field.h"
 
 #include <inttypes.h>
-#include <jansson.h>
 
 struct view {
 	js_view_row row;
@@ -161,14 +161,10 @@
 		 struct gb_error *err)
 {
 	struct view view = { .row = row, .ctx = ctx };
-	json_error_t cause;
-	json_t *json;
+	json_t *json = js_parse(text, err);
 
-	json = json_loadb(text.ptr ? text.ptr : "", text.len,
-			  JSON_REJECT_DUPLICATES, &cause);
 	if (!json)
-		return gb_fail(err, GB_ERR_SYNTAX, gb_str_from_c(cause.text),
-			       cause.line > 0 ? cause.line : 0);
+		return -1;
 	walk(&view, json, false);
 	json_decref(json);
 	gb_buf_free(&view.name);
