Align the event catalogue with the events of the code and check its page

Identities are printed in hexadecimal, as plans show them, and errors by name. tests/check compares docs/events.md with the catalogue.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(if $(CTL_SRC),$(BUILD)/gentianctl)
 
 .PHONY: all check demo bench matrix install-deps format format-check lint \
-	unit scenario process asan clean
+	unit docs-check scenario process asan clean
 .SECONDARY:
 
 all: $(BINARIES) $(STANDINS) $(SCENARIOS) $(BENCHES) $(UNITS)
@@ -104,6 +104,9 @@
 scenario: $(SCENARIOS)
 	tests/run-scenarios $(BUILD)
 
+docs-check: all
+	tests/check-events $(BUILD)
+
 process: all
 	tests/run-processes $(BUILD)
 
--- a/packages/event/ev-text.c
+++ b/packages/event/ev-text.c
@@ -72,11 +72,20 @@
 		ev_quote(value, out);
 }
 
+/* Appends a number; identities as the hex digits that plans show. */
 static void add_number(struct gb_buf *out, struct gb_str key, int64_t value)
 {
-	if (key.len)
-		gb_buf_addf(out, " %.*s=%" PRId64, (int)key.len, key.ptr,
-			    value);
+	if (!key.len)
+		return;
+	gb_buf_addf(out, " %.*s=", (int)key.len, key.ptr);
+	if (gb_str_eq(key, GB_STR("error")))
+		gb_buf_add(out, gb_code_name(CLAMP(value, 0, GB_ERR_CODES)));
+	else if (gb_str_eq(key, GB_STR("plan")) ||
+		 gb_str_eq(key, GB_STR("call")) ||
+		 gb_str_eq(key, GB_STR("fingerprint")))
+		gb_buf_addf(out, "%016" PRIx64, (uint64_t)value);
+	else
+		gb_buf_addf(out, "%" PRId64, value);
 }
 
 void ev_text(const struct ev_event *event, struct gb_buf *out)
