--- a/packages/ctl/ctl-common.c
+++ b/packages/ctl/ctl-common.c
@@ -4,7 +4,6 @@
 
 #include <stdio.h>
 #include <string.h>
-#include <unistd.h>
 
 /* No file that the command reads is larger than a configuration object. */
 #define FILE_MAX_BYTES (4 * 1024 * 1024)
@@ -125,17 +124,6 @@
 	return status;
 }
 
-void ctl_print(struct gb_str text)
-{
-	if (text.len)
-		fwrite(text.ptr, 1, text.len, stdout);
-}
-
-void ctl_warn(struct gb_str text)
-{
-	fprintf(stderr, "gentianctl: %.*s\n", (int)text.len, text.ptr);
-}
-
 int ctl_fail(struct gb_str subject, const struct gb_error *err)
 {
 	struct gb_buf text = GB_BUF_INIT;
--- /dev/null
+++ b/packages/ctl/tests/ctl-test.c
@@ -0,0 +1,254 @@
+#include "ctl/ctl.h"
+#include "script/scr.h"
+
+#include <glib/gstdio.h>
+#include <inttypes.h>
+#include <unistd.h>
+
+/*
+ * ctl-http.c and ctl-out.c are replaced: calls are answered from a list of
+ * prepared answers, and output is kept for the expected file.
+ */
+
+/* A prepared answer; the first one left that fits a call is used up. */
+struct answer {
+	uint16_t port;
+	struct gb_str path;
+	enum ctl_reach reach;
+	int status;
+	uint64_t version;
+	struct gb_str body;
+	bool keep; /* answers any number of calls */
+	bool used;
+};
+
+static GArray *answers; /* of struct answer */
+static struct gb_buf *output;
+static char *file_path;
+
+static void *open_ctx(void);
+static void close_ctx(void *ctx);
+static struct answer *find_answer(const struct ctl_call *call);
+static void answer_call(struct ctl_call *call);
+static enum ctl_reach reach_of(struct gb_str name);
+static void set_filter(struct ctl_line *line, const struct scr_args *args);
+static void cmd_answer(void *ctx, const struct scr_args *args,
+		       struct gb_buf *out);
+static void cmd_file(void *ctx, const struct scr_args *args,
+		     struct gb_buf *out);
+static void cmd_saved(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out);
+static void cmd_run(void *ctx, const struct scr_args *args, struct gb_buf *out);
+static void cmd_servers(void *ctx, const struct scr_args *args,
+			struct gb_buf *out);
+
+static const struct scr_command commands[] = {
+	{ .name = { "answer", 6 }, .run = cmd_answer },
+	{ .name = { "file", 4 }, .run = cmd_file },
+	{ .name = { "saved", 5 }, .run = cmd_saved },
+	{ .name = { "run", 3 }, .run = cmd_run },
+	{ .name = { "servers", 7 }, .run = cmd_servers },
+};
+
+static void *open_ctx(void)
+{
+	answers = g_array_new(FALSE, TRUE, sizeof(struct answer));
+	file_path = g_strdup_printf("%s/ctl-test-%d", g_get_tmp_dir(),
+				    (int)getpid());
+	return NULL;
+}
+
+static void close_ctx(void *ctx)
+{
+	(void)ctx;
+	for (guint i = 0; i < answers->len; i++) {
+		struct answer *answer =
+			&g_array_index(answers, struct answer, i);
+
+		gb_str_free(&answer->path);
+		gb_str_free(&answer->body);
+	}
+	g_array_free(answers, TRUE);
+	g_unlink(file_path);
+	g_free(file_path);
+}
+
+static struct answer *find_answer(const struct ctl_call *call)
+{
+	for (guint i = 0; i < answers->len; i++) {
+		struct answer *answer =
+			&g_array_index(answers, struct answer, i);
+
+		if (!answer->used && answer->port == call->server.port &&
+		    gb_str_eq(answer->path, call->path))
+			return answer;
+	}
+	return NULL;
+}
+
+/* A call without a prepared answer finds no server. */
+static void answer_call(struct ctl_call *call)
+{
+	struct answer *answer = find_answer(call);
+
+	gb_buf_addf(output, "%.*s %d%.*s %.*s\n", (int)call->method.len,
+		    call->method.ptr, call->server.port, (int)call->path.len,
+		    call->path.ptr, (int)call->body.len, call->body.ptr);
+	call->reach = answer ? answer->reach : CTL_NOT_SENT;
+	if (call->reach != CTL_ANSWERED) {
+		call->cause = call->reach == CTL_NOT_SENT ? GB_STR("no server")
+							  : GB_STR("lost");
+	} else {
+		call->status = answer->status;
+		call->version = answer->version;
+		gb_buf_add(&call->answer, answer->body);
+	}
+	if (answer)
+		answer->used = !answer->keep;
+}
+
+void ctl_http_run(struct ctl_call *calls, size_t len, gb_time timeout)
+{
+	(void)timeout;
+	for (size_t i = 0; i < len; i++)
+		answer_call(&calls[i]);
+}
+
+void ctl_http_free(struct ctl_call *calls, size_t len)
+{
+	for (size_t i = 0; i < len; i++)
+		gb_buf_free(&calls[i].answer);
+}
+
+void ctl_print(struct gb_str text)
+{
+	gb_buf_add(output, text);
+}
+
+void ctl_warn(struct gb_str text)
+{
+	gb_buf_addf(output, "warning: %.*s\n", (int)text.len, text.ptr);
+}
+
+static enum ctl_reach reach_of(struct gb_str name)
+{
+	if (gb_str_eq(name, GB_STR("lost")))
+		return CTL_NO_ANSWER;
+	return gb_str_eq(name, GB_STR("down")) ? CTL_NOT_SENT : CTL_ANSWERED;
+}
+
+static void cmd_answer(void *ctx, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct answer answer = {
+		.port = scr_int(args, GB_STR("port"), 1),
+		.path = gb_str_dup(scr_str(args, GB_STR("path"), GB_STR(""))),
+		.reach = reach_of(
+			scr_str(args, GB_STR("reach"), GB_STR("answered"))),
+		.status = scr_int(args, GB_STR("status"), 200),
+		.version = scr_int(args, GB_STR("version"), 0),
+		.body = gb_str_dup(scr_str(args, GB_STR("body"), GB_STR(""))),
+		.keep = scr_int(args, GB_STR("keep"), 0),
+	};
+
+	(void)ctx;
+	(void)out;
+	g_array_append_val(answers, answer);
+}
+
+/* Writes the file that "@" stands for in a command line. */
+static void cmd_file(void *ctx, const struct scr_args *args, struct gb_buf *out)
+{
+	struct gb_str text = scr_word(args, 0);
+
+	(void)ctx;
+	(void)out;
+	g_assert_true(g_file_set_contents(file_path, text.ptr, text.len, NULL));
+}
+
+static void cmd_saved(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	gchar *text = NULL;
+
+	(void)ctx;
+	(void)args;
+	g_file_get_contents(file_path, &text, NULL, NULL);
+	gb_buf_addf(out, "%s\n", text ? text : "none");
+	g_free(text);
+}
+
+static void set_filter(struct ctl_line *line, const struct scr_args *args)
+{
+	line->filter = (struct ev_filter){
+		.request = scr_str(args, GB_STR("--request"), GB_STR("")),
+		.upstream = scr_str(args, GB_STR("--upstream"), GB_STR("")),
+		.dc = scr_str(args, GB_STR("--dc"), GB_STR("")),
+		.vm = scr_int(args, GB_STR("--vm"), -1),
+	};
+}
+
+/* Runs a command; words with "--" are options. */
+static void cmd_run(void *ctx, const struct scr_args *args, struct gb_buf *out)
+{
+	struct ctl_line line = { .timeout = 300 * GB_MSEC };
+	const struct ctl_command *command = ctl_find(scr_word(args, 0));
+	struct gb_str file = gb_str_from_c(file_path);
+
+	(void)ctx;
+	output = out;
+	line.servers = g_array_new(FALSE, FALSE, sizeof(struct ctl_server));
+	line.words = g_array_new(FALSE, FALSE, sizeof(struct gb_str));
+	ctl_add_servers(&line, scr_str(args, GB_STR("--server"),
+				       GB_STR("127.0.0.1:1")));
+	line.json = scr_str(args, GB_STR("--json"), GB_STR("")).len > 0;
+	if (scr_str(args, GB_STR("--output"), GB_STR("")).len)
+		line.output = file;
+	set_filter(&line, args);
+	for (size_t i = 1; i < args->len; i++) {
+		struct gb_str word = args->word[i];
+
+		if (gb_str_starts_with(word, GB_STR("--")))
+			continue;
+		if (gb_str_eq(word, GB_STR("@")))
+			word = file;
+		g_array_append_val(line.words, word);
+	}
+	g_assert_nonnull(command);
+	gb_buf_addf(out, "exit %d\n", command->run(&line));
+	g_array_free(line.servers, TRUE);
+	g_array_free(line.words, TRUE);
+}
+
+static void cmd_servers(void *ctx, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	struct ctl_line line = { 0 };
+
+	(void)ctx;
+	line.servers = g_array_new(FALSE, FALSE, sizeof(struct ctl_server));
+	if (ctl_add_servers(&line, scr_word(args, 0)))
+		gb_buf_add(out, GB_STR("refused"));
+	for (guint i = 0; i < line.servers->len; i++) {
+		gb_buf_addc(out, ' ');
+		ctl_server_text(
+			&g_array_index(line.servers, struct ctl_server, i),
+			out);
+	}
+	gb_buf_addc(out, '\n');
+	g_array_free(line.servers, TRUE);
+}
+
+int main(int argc, char **argv)
+{
+	const struct scr_suite suite = {
+		.name = "ctl",
+		.folder = "packages/ctl/tests",
+		.commands = commands,
+		.commands_len = G_N_ELEMENTS(commands),
+		.open = open_ctx,
+		.close = close_ctx,
+	};
+
+	return scr_main(argc, argv, &suite);
+}
