--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,8 @@
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/scenario: $(call obj,$(SCENARIO_SRC)) $(LIB)
+$(BUILD)/scenario: $(call obj,$(SCENARIO_SRC)) \
+		$(BUILD)/tests/script/scr.o $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
@@ -82,7 +83,7 @@
 	$(eval $(call program,$(BUILD)/$(p),tests/standin,$(p),$(STANDIN_SRC),)))
 $(foreach p,$(filter-out common,$(call programs,$(BENCH_SRC))),\
 	$(eval $(call program,$(BUILD)/bench-$(p),bench,$(p),$(BENCH_SRC),\
-	$(call obj,$(SCENARIO_ENGINE)))))
+	$(call obj,$(SCENARIO_ENGINE)) $(BUILD)/tests/script/scr.o)))
 
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
 	grep -v generated)
--- a/packages/base/gb.h
+++ b/packages/base/gb.h
@@ -33,6 +33,12 @@
 /* Makes a gb_str from a string literal. */
 #define GB_STR(lit) ((struct gb_str){ .ptr = (lit), .len = sizeof(lit) - 1 })
 
+/* The same as an initialiser of static data. */
+#define GB_STR_INIT(lit)                                                       \
+	{                                                                      \
+		.ptr = (lit), .len = sizeof(lit) - 1                           \
+	}
+
 struct gb_buf {
 	char *ptr;
 	size_t len;
--- /dev/null
+++ b/tests/scenario/scn-platform.c
@@ -0,0 +1,221 @@
+#include "scenario/scn.h"
+
+/* Time of one call to the platform when it is well. */
+#define PLATFORM_TIME (3 * GB_MSEC)
+
+/* A watch ends without news after this time. */
+#define WATCH_TIME (30 * GB_SEC)
+
+/* A call to a platform that is down fails after this time. */
+#define DOWN_TIME (200 * GB_MSEC)
+
+struct store_call {
+	struct scn_vm *vm;
+	uint64_t run;
+	enum nd_store_op op;
+	uint64_t tag;
+	uint64_t version; /* watch: news are newer; write: base */
+	struct cfg *cfg;
+	enum nd_store_status status;
+	bool waiting;
+	uint32_t refs;
+};
+
+static struct store_call *call_new(struct scn_vm *vm, enum nd_store_op op,
+				   uint64_t tag, uint64_t version);
+static void call_unref(gpointer data);
+static void input(struct scn_vm *vm, void *data);
+static void reply(struct scn_world *world, void *data);
+static void send_reply(struct scn_world *world, struct store_call *call,
+		       gb_time delay);
+static void do_read(struct scn_world *world, void *data);
+static void do_watch(struct scn_world *world, void *data);
+static void end_watch(struct scn_world *world, void *data);
+static void do_write(struct scn_world *world, void *data);
+static void call_platform(struct store_call *call, scn_action action);
+
+static struct store_call *call_new(struct scn_vm *vm, enum nd_store_op op,
+				   uint64_t tag, uint64_t version)
+{
+	struct store_call *call = g_new0(struct store_call, 1);
+
+	call->vm = vm;
+	call->run = vm->run;
+	call->op = op;
+	call->tag = tag;
+	call->version = version;
+	call->refs = 1;
+	return call;
+}
+
+static void call_unref(gpointer data)
+{
+	struct store_call *call = data;
+
+	if (--call->refs)
+		return;
+	cfg_unref(call->cfg);
+	g_free(call);
+}
+
+static void input(struct scn_vm *vm, void *data)
+{
+	struct store_call *call = data;
+	struct nd_store_result result = {
+		.tag = call->tag,
+		.op = call->op,
+		.status = call->status,
+		.cfg = call->op == ND_STORE_WRITE ? NULL : call->cfg,
+		.version = call->version,
+	};
+
+	nd_store_done(vm->node, scn_vm_clock(vm), &result);
+}
+
+static void reply(struct scn_world *world, void *data)
+{
+	struct store_call *call = data;
+
+	(void)world;
+	if (call->vm->run != call->run)
+		call_unref(call);
+	else
+		scn_vm_input(call->vm, input, call, call_unref);
+}
+
+static void send_reply(struct scn_world *world, struct store_call *call,
+		       gb_time delay)
+{
+	scn_after(world, delay, reply, call);
+}
+
+static void call_platform(struct store_call *call, scn_action action)
+{
+	struct scn_world *world = call->vm->world;
+
+	if (world->platform.down) {
+		call->status = ND_STORE_DOWN;
+		send_reply(world, call, DOWN_TIME);
+		return;
+	}
+	scn_after(world, PLATFORM_TIME / 2 + world->platform.slow, action,
+		  call);
+}
+
+static void do_read(struct scn_world *world, void *data)
+{
+	struct store_call *call = data;
+
+	if (world->platform.down)
+		call->status = ND_STORE_DOWN;
+	else if (!world->platform.object)
+		call->status = ND_STORE_NOT_FOUND;
+	else
+		call->cfg = cfg_ref(world->platform.object);
+	send_reply(world, call, PLATFORM_TIME / 2 + world->platform.slow);
+}
+
+void scn_platform_read(struct scn_vm *vm, uint64_t tag)
+{
+	vm->world->platform.reads++;
+	call_platform(call_new(vm, ND_STORE_READ, tag, 0), do_read);
+}
+
+static void end_watch(struct scn_world *world, void *data)
+{
+	struct store_call *call = data;
+
+	if (call->waiting) {
+		call->waiting = false;
+		g_ptr_array_remove(world->platform.watches, call);
+		send_reply(world, call, PLATFORM_TIME / 2);
+	}
+	call_unref(call);
+}
+
+static void do_watch(struct scn_world *world, void *data)
+{
+	struct store_call *call = data;
+	struct scn_platform *platform = &world->platform;
+
+	if (platform->down || !platform->object ||
+	    platform->object->version > call->version) {
+		do_read(world, call);
+		return;
+	}
+	call->waiting = true;
+	call->refs++;
+	g_ptr_array_add(platform->watches, call);
+	scn_after(world, WATCH_TIME, end_watch, call);
+}
+
+void scn_platform_watch(struct scn_vm *vm, uint64_t tag, uint64_t after)
+{
+	vm->world->platform.watches_count++;
+	call_platform(call_new(vm, ND_STORE_WATCH, tag, after), do_watch);
+}
+
+/* Stores the object and lets the watches that wait for it end. */
+void scn_platform_put(struct scn_world *world, struct cfg *cfg)
+{
+	struct scn_platform *platform = &world->platform;
+	struct scn_fact fact = { .kind = SCN_CONFIG_ACCEPTED,
+				 .at = world->now,
+				 .cfg = cfg,
+				 .version = cfg->version };
+
+	cfg_unref(platform->object);
+	platform->object = cfg_ref(cfg);
+	scn_fact(world, &fact);
+	for (guint i = platform->watches->len; i-- > 0;) {
+		struct store_call *call =
+			g_ptr_array_index(platform->watches, i);
+
+		if (call->version >= cfg->version)
+			continue;
+		call->waiting = false;
+		call->cfg = cfg_ref(cfg);
+		g_ptr_array_remove_index(platform->watches, i);
+		send_reply(world, call, PLATFORM_TIME / 2 + platform->slow);
+	}
+}
+
+static void do_write(struct scn_world *world, void *data)
+{
+	struct store_call *call = data;
+	struct scn_platform *platform = &world->platform;
+	uint64_t current = platform->object ? platform->object->version : 0;
+	gb_time delay = PLATFORM_TIME / 2 + platform->slow;
+
+	if (platform->down) {
+		call->status = ND_STORE_UNKNOWN;
+	} else if (call->version != current) {
+		call->status = ND_STORE_CONFLICT;
+	} else {
+		call->cfg->version = current + 1;
+		call->version = current + 1;
+		scn_platform_put(world, call->cfg);
+		if (platform->lose_writes) {
+			platform->lose_writes--;
+			call->status = ND_STORE_UNKNOWN;
+			delay = GB_SEC;
+		}
+	}
+	send_reply(world, call, delay);
+}
+
+void scn_platform_write(struct scn_vm *vm, uint64_t tag, const struct cfg *cfg,
+			uint64_t base)
+{
+	struct store_call *call = call_new(vm, ND_STORE_WRITE, tag, base);
+
+	vm->world->platform.writes++;
+	call->cfg = cfg_copy(cfg);
+	call_platform(call, do_write);
+}
+
+void scn_platform_free(struct scn_platform *platform)
+{
+	g_ptr_array_free(platform->watches, TRUE);
+	cfg_unref(platform->object);
+}
