--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(if $(CTL_SRC),$(BUILD)/gentianctl)
 
 .PHONY: all check demo bench matrix install-deps format format-check lint \
-	unit scenario process asan clean
+	unit docs-check scenario process asan clean
 .SECONDARY:
 
 all: $(BINARIES) $(STANDINS) $(SCENARIOS) $(BENCHES) $(UNITS)
@@ -67,6 +67,10 @@
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
+# The test of the command line brings its own HTTP client and output.
+CTL_TESTED = $(filter-out %/ctl-main.c %/ctl-http.c %/ctl-out.c,$(CTL_SRC))
+$(BUILD)/packages/ctl/tests/ctl-test: $(call obj,$(CTL_TESTED))
+
 # The scenario engine without its main function serves the benches too.
 SCENARIO_ENGINE = $(filter-out tests/scenario/scn-main.c,$(SCENARIO_SRC))
 
@@ -105,6 +109,9 @@
 scenario: $(SCENARIOS)
 	tests/run-scenarios $(BUILD)
 
+docs-check: all
+	tests/check-events $(BUILD)
+
 process: all
 	tests/run-processes $(BUILD)
 
--- a/packages/base/gb.h
+++ b/packages/base/gb.h
@@ -34,9 +34,9 @@
 #define GB_STR(lit) ((struct gb_str){ .ptr = (lit), .len = sizeof(lit) - 1 })
 
 /* The same as an initialiser of static data. */
-#define GB_STR_INIT(lit)                                                       \
-	{                                                                      \
-		.ptr = (lit), .len = sizeof(lit) - 1                           \
+#define GB_STR_INIT(lit)                             \
+	{                                            \
+		.ptr = (lit), .len = sizeof(lit) - 1 \
 	}
 
 struct gb_buf {
