--- a/packages/daemon/gd-caller.c
+++ b/packages/daemon/gd-caller.c
@@ -176,8 +176,8 @@
 	req = gd_http_finish(gd, waiting);
 	/* A body that cannot be passed on makes a refusal of the answer. */
 	if (js_answer_encode(answer, &body))
-		status = gd_http_status(answer->order ? GB_ERR_UNKNOWN_OUTCOME :
-							GB_ERR_IO);
+		status = gd_http_status(answer->order ? GB_ERR_UNKNOWN_OUTCOME
+						      : GB_ERR_IO);
 	add_retry_after(req, answer, status);
 	gd_http_add_header(req, GB_STR("request-id"), "%.*s",
 			   (int)answer->id.len, answer->id.ptr);
