--- a/packages/base/gb.h
+++ b/packages/base/gb.h
@@ -20,7 +20,7 @@
 /* Monotonic time in microseconds, as read by the shell of the process. */
 typedef int64_t gb_time;
 
-#define GB_USEC 1LL
+#define GB_USEC ((gb_time)1)
 #define GB_MSEC (1000 * GB_USEC)
 #define GB_SEC (1000 * GB_MSEC)
 #define GB_NEVER INT64_MAX
--- a/packages/quorum/tests/quorum-test.c
+++ b/packages/quorum/tests/quorum-test.c
@@ -237,7 +237,7 @@
 	for (size_t i = 0; i < args->len; i++)
 		if (!gb_str_to_int(args->word[i], 1, 99, &vm))
 			quo_holder_reply(&ctx->holder, ctx->cfg, vm, &reply);
-	gb_buf_addf(out, "until %lld\n",
+	gb_buf_addf(out, "until %" PRId64 "\n",
 		    quo_holder_expires(&ctx->holder, 3) / GB_MSEC);
 }
 
--- a/packages/settings/set-read.c
+++ b/packages/settings/set-read.c
@@ -281,7 +281,7 @@
 
 static void lease_allowed(const struct nd_settings *node, struct gb_buf *out)
 {
-	gb_buf_addf(out, "at least 3 * heartbeat_ms = %lld",
+	gb_buf_addf(out, "at least 3 * heartbeat_ms = %" PRId64,
 		    3 * node->heartbeat / GB_MSEC);
 }
 
@@ -304,7 +304,7 @@
 
 static void suspect_allowed(const struct nd_settings *node, struct gb_buf *out)
 {
-	gb_buf_addf(out, "more than heartbeat_ms = %lld",
+	gb_buf_addf(out, "more than heartbeat_ms = %" PRId64,
 		    node->heartbeat / GB_MSEC);
 }
 
--- a/tests/scenario/scn-main.c
+++ b/tests/scenario/scn-main.c
@@ -5,18 +5,25 @@
 #include <string.h>
 
 /*
- * Usage: scenario [--seed N] FILE.scenario [EXPECTED]
+ * Usage: scenario [--seed N] FILE.scenario
+ *        scenario --cases FOLDER
  *
- * Prints the trace, or with EXPECTED compares it and prints the first line
- * that differs. Exit status: 0 as expected, 1 a difference or a violation,
- * 2 usage.
+ * The first form prints the trace. The second runs each scenario of the folder
+ * as one GLib test that compares the trace with FILE.expected; with
+ * SCR_UPDATE=1 in the environment the expected files are written anew. Exit
+ * status: 0 as expected, 1 a difference or a violation, 2 usage.
  */
 
-static int compare(const char *file, uint64_t seed, struct gb_str got,
-		   struct gb_str want);
+#define SEED 1
 
-static int compare(const char *file, uint64_t seed, struct gb_str got,
-		   struct gb_str want)
+static void compare(const char *file, struct gb_str got, struct gb_str want);
+static struct scn_world *run_file(const char *file, uint64_t seed, int *status);
+static void test_case(gconstpointer data);
+static int run_cases(int argc, char **argv, const char *folder);
+static gint by_name(gconstpointer a, gconstpointer b);
+
+/* Fails the test with the first line that differs and how to replay it. */
+static void compare(const char *file, struct gb_str got, struct gb_str want)
 {
 	struct gb_str a, b;
 	int number = 0;
@@ -27,47 +34,114 @@
 		gb_str_cut(&want, '\n', &b);
 		if (gb_str_eq(a, b))
 			continue;
-		printf("%s: line %d differs with seed %" PRIu64 "\n"
-		       "  got:  %.*s\n  want: %.*s\n"
-		       "  replay: build/scenario --seed %" PRIu64 " %s\n",
-		       file, number, seed, (int)a.len, a.ptr, (int)b.len, b.ptr,
-		       seed, file);
-		return 1;
+		g_test_message("%s: line %d differs with seed %d\n"
+			       "  got:  %.*s\n  want: %.*s\n"
+			       "  replay: build/scenario --seed %d %s",
+			       file, number, SEED, (int)a.len, a.ptr,
+			       (int)b.len, b.ptr, SEED, file);
+		g_test_fail();
+		return;
 	}
-	return 0;
 }
 
-int main(int argc, char **argv)
+/* Runs a scenario; NULL if the file cannot be read. */
+static struct scn_world *run_file(const char *file, uint64_t seed, int *status)
 {
 	struct scn_world *world;
-	uint64_t seed = 1;
-	gchar *text, *want = NULL;
-	gsize len, want_len = 0;
+	gchar *text;
+	gsize len;
+
+	if (!g_file_get_contents(file, &text, &len, NULL))
+		return NULL;
+	world = scn_new(seed);
+	*status = scn_script(world, (struct gb_str){ .ptr = text, .len = len });
+	g_free(text);
+	return world;
+}
+
+static void test_case(gconstpointer data)
+{
+	const char *file = data;
+	char *expected = g_strndup(file, strlen(file) - strlen("scenario"));
+	char *path = g_strconcat(expected, "expected", NULL);
+	gchar *want = NULL;
+	gsize len = 0;
 	int status;
+	struct scn_world *world = run_file(file, SEED, &status);
 
-	if (argc > 2 && !strcmp(argv[1], "--seed")) {
-		seed = g_ascii_strtoull(argv[2], NULL, 10);
-		argv += 2;
-		argc -= 2;
-	}
-	if (argc < 2 || argc > 3 ||
-	    !g_file_get_contents(argv[1], &text, &len, NULL)) {
-		fputs("usage: scenario [--seed N] FILE [EXPECTED]\n", stderr);
+	g_assert_nonnull(world);
+	if (g_getenv("SCR_UPDATE"))
+		g_assert_true(g_file_set_contents(path, world->trace.ptr,
+						  world->trace.len, NULL));
+	else if (g_file_get_contents(path, &want, &len, NULL))
+		compare(file, gb_buf_str(&world->trace),
+			(struct gb_str){ .ptr = want, .len = len });
+	else
+		compare(file, gb_buf_str(&world->trace), GB_STR(""));
+	g_assert_cmpint(status, ==, 0);
+	scn_free(world);
+	g_free(want);
+	g_free(path);
+	g_free(expected);
+}
+
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static int run_cases(int argc, char **argv, const char *folder)
+{
+	GPtrArray *files;
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+	int status;
+
+	if (!dir)
 		return 2;
+	files = g_ptr_array_new_with_free_func(g_free);
+	g_test_init(&argc, &argv, NULL);
+	while ((name = g_dir_read_name(dir)))
+		if (g_str_has_suffix(name, ".scenario"))
+			g_ptr_array_add(files,
+					g_build_filename(folder, name, NULL));
+	g_dir_close(dir);
+	g_ptr_array_sort(files, by_name);
+	for (guint i = 0; i < files->len; i++) {
+		const char *file = g_ptr_array_index(files, i);
+		char *base = g_path_get_basename(file);
+		char *path = g_strconcat("/scenario/", base, NULL);
+
+		g_test_add_data_func(path, file, test_case);
+		g_free(path);
+		g_free(base);
 	}
-	world = scn_new(seed);
-	status = scn_script(world, (struct gb_str){ .ptr = text, .len = len });
-	if (argc == 3) {
-		if (!g_file_get_contents(argv[2], &want, &want_len, NULL))
-			want_len = 0;
-		if (compare(argv[1], seed, gb_buf_str(&world->trace),
-			    (struct gb_str){ .ptr = want, .len = want_len }))
-			status = 1;
-	} else {
-		fwrite(world->trace.ptr, 1, world->trace.len, stdout);
-	}
+	status = g_test_run();
+	g_ptr_array_free(files, TRUE);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	struct scn_world *world;
+	uint64_t seed = SEED;
+	int status = 0;
+
+	if (argc == 3 && !strcmp(argv[1], "--cases"))
+		return run_cases(1, argv, argv[2]);
+	if (argc == 4 && !strcmp(argv[1], "--seed"))
+		seed = g_ascii_strtoull(argv[2], NULL, 10);
+	else if (argc != 2)
+		goto usage;
+	world = run_file(argv[argc - 1], seed, &status);
+	if (!world)
+		goto usage;
+	fwrite(world->trace.ptr, 1, world->trace.len, stdout);
 	scn_free(world);
-	g_free(want);
-	g_free(text);
 	return status ? 1 : 0;
+usage:
+	fputs("usage: scenario [--seed N] FILE.scenario\n"
+	      "       scenario --cases FOLDER\n",
+	      stderr);
+	return 2;
 }
