--- a/Makefile
+++ b/Makefile
@@ -98,7 +98,7 @@
 	@cppcheck --quiet --std=c11 --error-exitcode=1 -j 8 \
 		--enable=warning,performance,portability --inline-suppr \
 		--library=gtk \
-		'-Djson_object_foreach(object,key,value)=while ((value))' \
+		'-Djson_object_foreach(o,k,v)=for ((k) = 0, (v) = (o); (v);)' \
 		-Ipackages -Itests packages tests bench
 
 install-deps:
