--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith
 CFLAGS ?= -O2 -g
-override CFLAGS += -std=gnu11 $(WARN) -MMD -MP -Ipackages -Itests -Ibench \
+override CFLAGS += -std=gnu11 $(WARN) -MMD -MP -Ipackages -Itests -I. \
 	-DH2O_USE_LIBUV=1 $(SANITIZE) $(shell pkg-config --cflags $(PKGS))
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lh2o -lssl -lcrypto -lm
 
--- a/tests/scenario/scn-command.c
+++ b/tests/scenario/scn-command.c
@@ -56,7 +56,7 @@
 	{ GB_STR_INIT("vm"), cmd_vm, GB_STR_INIT("ID dc=NAME [skew_ms=N]") },
 	{ GB_STR_INIT("service"), cmd_service,
 	  GB_STR_INIT("NAME [shards=N] [replicas=N] [slots=N] [queue=N] "
-		      "[connections=N] [cold=N] [ramp_ms=N] [cold_ms=N] "
+		      "[backlog=N] [connections=N] [cold=N] [ramp_ms=N] [cold_ms=N] "
 		      "[mean_us=N] [slow_permille=N] [connect_us=N] "
 		      "[policy=P] [hedge=N] [canary=0|1] [crash_on=T] "
 		      "[deadline_ms=N]") },
@@ -220,6 +220,7 @@
 	service->fragile = scr_int(args, GB_STR("fragile"), 0);
 	service->crash_on =
 		gb_str_dup(scr_str(args, GB_STR("crash_on"), GB_STR("")));
+	service->backlog = scr_int(args, GB_STR("backlog"), limits->queue);
 	service->limits = *limits;
 	g_ptr_array_add(world->services, service);
 	add_replicas(world, config, index, scr_int(args, GB_STR("shards"), 4),
--- a/tests/scenario/scn-upstream.c
+++ b/tests/scenario/scn-upstream.c
@@ -38,6 +38,8 @@
 		 struct scn_upstream *upstream, const struct scn_call *call);
 static uint32_t docs_of(const struct scn_world *world,
 			const struct scn_call *call);
+static uint32_t room(const struct scn_world *world,
+		     const struct scn_upstream *upstream);
 
 struct scn_service *scn_service(const struct scn_world *world, uint32_t index)
 {
@@ -132,6 +134,18 @@
 					       (double)service->cold_time);
 }
 
+/* Calls that the upstream takes before it sheds. */
+static uint32_t room(const struct scn_world *world,
+		     const struct scn_upstream *upstream)
+{
+	const struct scn_service *service =
+		scn_service(world, upstream->service);
+
+	if (world->now - upstream->started < service->cold_time)
+		return scn_upstream_bears(world, upstream);
+	return service->limits.slots + service->backlog;
+}
+
 static uint32_t docs_of(const struct scn_world *world,
 			const struct scn_call *call)
 {
@@ -330,8 +344,7 @@
 		scn_call_unref(call);
 		return;
 	}
-	if (scn_upstream_load(upstream) >=
-	    scn_upstream_bears(world, upstream)) {
+	if (scn_upstream_load(upstream) >= room(world, upstream)) {
 		upstream->shed++;
 		give(world, call, ND_UPSTREAM_REFUSED, hop);
 		scn_call_unref(call);
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -102,6 +102,7 @@
 	gb_time cold_time; /* until an upstream bears its full load */
 	bool fragile; /* a cold upstream over its limit crashes */
 	struct gb_str crash_on; /* bodies with this text crash upstreams */
+	uint32_t backlog; /* waits beyond the slots before the upstream sheds */
 	struct cfg_limits limits;
 };
 
