once: exclude attempts of adjacent epochs before saying "not run"

Counting n - m + 1 granted votes excludes other attempts of the same epoch only. With four granters, a coordinator in epoch E with two granted votes could say "not run" after an attempt in E + 1 or E - 1 had run with the other two granters.

--- a/packages/once/once-attempt.c
+++ b/packages/once/once-attempt.c
@@ -65,14 +65,19 @@
 }
 
 /*
- * Tells whether "not run" is certain, or can become so by more votes. Granted
- * votes keep any other attempt of this epoch from a majority.
+ * Tells whether "not run" is certain, or would be if so many more granted.
+ * Granted votes keep any other attempt of this epoch from a majority. An
+ * attempt of another epoch is excluded only if a majority proved to be in this
+ * epoch and to hold no other vote: an abstaining voter never votes on the key,
+ * and the epochs next to this one need a granter of that majority.
  */
 static bool may_say_not_run(const struct once_attempt *attempt, uint32_t more)
 {
 	uint32_t granted = votes(attempt, MSG_VOTE_GRANTED) + more;
+	uint32_t abstained = votes(attempt, MSG_VOTE_ABSTAINED);
 
-	return granted >= attempt->granters - attempt->majority + 1;
+	return granted >= attempt->granters - attempt->majority + 1 &&
+	       granted + abstained >= attempt->majority;
 }
 
 static enum once_verdict decide(struct once_attempt *attempt)
--- a/packages/once/once-voter.c
+++ b/packages/once/once-voter.c
@@ -186,7 +186,6 @@
 	return MSG_VOTE_GRANTED;
 }
 
-/* The outcome in the reply is borrowed from the ledger. */
 void once_voter_vote(struct once_voter *voter, int64_t wall_ms, uint64_t epoch,
 		     const struct msg_vote *vote, struct msg_vote_reply *reply)
 {
--- a/packages/once/once.h
+++ b/packages/once/once.h
@@ -12,13 +12,19 @@
  *	An attempt runs only with a majority of votes from one roster epoch.
  *
  *	A voter abstains on keys that were issued before its memory began plus
- *	the clock skew, because an earlier process of the same VM may have
- *	voted on them. It forgets keys after the retention time; coordinators
- *	refuse keys older than that.
+ *	twice the clock skew, because an earlier process of the same VM may
+ *	have voted on them: a key may be one skew ahead of its coordinator,
+ *	whose clock may be one skew ahead of the voter's. The memory begins
+ *	when the voter knows that the epoch that made it a granter is settled
+ *	(quo_epoch_settled()), since until then a majority of the epoch before
+ *	may vote without it. It forgets keys after the retention time;
+ *	coordinators refuse keys older than that.
  *
  *	Without a majority the attempt never runs and releases its votes. It
- *	may say "not run" only if so many voters knew of no other attempt that
- *	no other can have had a majority; otherwise the outcome is unknown.
+ *	may say "not run" only if n - m + 1 of the n granters (m being their
+ *	majority) granted their votes, so that no other attempt of this epoch
+ *	can have had a majority, and if m granters granted or abstained, so
+ *	that none of another epoch can; otherwise the outcome is unknown.
  */
 
 #include "base/gb.h"
@@ -49,10 +55,14 @@
 struct once_voter *once_voter_new(gb_time retention, gb_time skew);
 void once_voter_free(struct once_voter *voter);
 
-/* Starts the memory at wall_ms; a later call with an earlier time has no
- * effect, so that a clock jump cannot extend it backwards. */
+/*
+ * Starts the memory at wall_ms; a later call with an earlier time has no
+ * effect, so that a clock jump cannot extend it backwards. A VM that becomes a
+ * granter again makes a new voter instead, which abstains until it is started.
+ */
 void once_voter_start(struct once_voter *voter, int64_t wall_ms);
 
+/* Answers a vote; the outcome in the reply is borrowed from the voter. */
 void once_voter_vote(struct once_voter *voter, int64_t wall_ms, uint64_t epoch,
 		     const struct msg_vote *vote, struct msg_vote_reply *reply);
 void once_voter_release(struct once_voter *voter,
@@ -98,11 +108,14 @@
 void once_attempt_message(const struct once_attempt *attempt,
 			  struct msg_vote *vote);
 
-/* Counts one reply and returns the verdict. */
+/* Counts one reply and returns the verdict; ONCE_WAIT after ONCE_RUN. */
 enum once_verdict once_attempt_reply(struct once_attempt *attempt, uint32_t vm,
 				     const struct msg_vote_reply *reply);
 
-/* Ends the wait for votes; returns a verdict other than ONCE_WAIT. */
+/*
+ * Ends the wait for votes; returns a verdict other than ONCE_WAIT. An attempt
+ * that was told to run gets ONCE_UNKNOWN, never ONCE_RUN again.
+ */
 enum once_verdict once_attempt_close(struct once_attempt *attempt);
 
 #endif
