--- a/packages/quorum/quo.h
+++ b/packages/quorum/quo.h
@@ -20,6 +20,11 @@
  *	ignores heartbeats that are not newer than the last one of the same
  *	incarnation. A holder counts no reply to a heartbeat that was sent
  *	before it last began to want the unit.
+ *
+ *	A sender that is leaving keeps the units it holds while it lists them,
+ *	so that it can finish its work, and is granted no others. Of one VM
+ *	only the newest process may act as granter: the process before it must
+ *	be dead when the silence of the new one begins.
  */
 
 #include "base/gb.h"
@@ -70,7 +75,8 @@
 
 /*
  * Tells whether the epoch before that of cfg can form no majority any more
- * and all its grants have expired, so that a next epoch may be proposed.
+ * and all its grants have expired, so that a next epoch may be proposed: a
+ * majority of cfg's granters adopted its epoch one lease ago or earlier.
  */
 bool quo_epoch_settled(const struct quo_members *members, const struct cfg *cfg,
 		       gb_time now, gb_time lease);
