--- a/packages/shard/shd-internal.h
+++ b/packages/shard/shd-internal.h
@@ -182,7 +182,6 @@
 void shd_hedge(struct shd_shard *shard, struct shd_entry *entry);
 
 /* shd-suspect.c */
-bool shd_vouched(const struct shd_shard *shard, const struct shd_entry *entry);
 void shd_judge(struct shd_shard *shard, const struct shd_call *call,
 	       enum shd_status status);
 void shd_reserve(struct shd_shard *shard, struct shd_entry *entry);
--- a/packages/shard/shd-suspect.c
+++ b/packages/shard/shd-suspect.c
@@ -1,5 +1,7 @@
 #include "shard/shd-internal.h"
 
+static bool vouched(const struct shd_shard *shard,
+		    const struct shd_entry *entry);
 static bool note_blame(struct shd_shard *shard, const struct shd_call *call);
 static bool is_innocent(const struct shd_shard *shard,
 			const struct shd_call *call);
@@ -11,7 +13,8 @@
  * Where a service uses canaries, an entry VM sends a request without the
  * canary mark only after a success of it.
  */
-bool shd_vouched(const struct shd_shard *shard, const struct shd_entry *entry)
+static bool vouched(const struct shd_shard *shard,
+		    const struct shd_entry *entry)
 {
 	return shard->canary && !entry->req.canary;
 }
@@ -51,7 +54,7 @@
 	state = sus_state(shard->suspects, shard->now,
 			  call->entry->req.fingerprint);
 	if (state == SUS_UNKNOWN || state == SUS_CANARY)
-		return shd_vouched(shard, call->entry);
+		return vouched(shard, call->entry);
 	return state == SUS_GOOD || state == SUS_QUARANTINED;
 }
 
--- a/packages/shard/tests/shard-test.c
+++ b/packages/shard/tests/shard-test.c
@@ -201,7 +201,7 @@
 		answer(w, args, call);
 }
 
-/* Moves the clock, with every tick that the shard asks for on the way. */
+/* Moves the clock, with the ticks that the shard asks for unless ticks=0. */
 static void cmd_run(void *ctx, const struct scr_args *args, struct gb_buf *out)
 {
 	struct world *w = ctx;
@@ -211,7 +211,8 @@
 	w->out = out;
 	number(args, 0, &ms);
 	end = w->now + ms * GB_MSEC;
-	while (shd_next_tick(w->shard) <= end) {
+	while (scr_int(args, GB_STR("ticks"), 1) &&
+	       shd_next_tick(w->shard) <= end) {
 		w->now = MAX(w->now, shd_next_tick(w->shard));
 		shd_tick(w->shard, w->now);
 	}
