Add the XDR encoding of the messages between VMs

One table row per message kind gives the XDR function that serves both directions over libtirpc's memory streams; the call header is coded by xdr_callmsg() with AUTH_NONE only. Counts and string lengths are checked against the rest of the record before anything is allocated. A heartbeat takes 128 bytes with its record mark, a reply 140. wire_encode() returns -1 for a record that every reader would refuse. The nesting limit of the JSON scanner is now 100 as stated; it was 101. The plan tests print the whole configuration as JSON.

--- a/packages/json/js-scan.c
+++ b/packages/json/js-scan.c
@@ -118,6 +118,8 @@
 static bool scan_items(struct scan *scan, char close, int depth,
 		       bool (*item)(struct scan *scan, int depth))
 {
+	if (depth > DEPTH_MAX)
+		return false;
 	skip_space(scan);
 	if (next_is(scan, close))
 		return true;
@@ -131,8 +133,6 @@
 
 static bool scan_value(struct scan *scan, int depth)
 {
-	if (depth > DEPTH_MAX)
-		return false;
 	skip_space(scan);
 	if (scan->at == scan->end)
 		return false;
--- a/packages/plan/tests/plan-test.c
+++ b/packages/plan/tests/plan-test.c
@@ -1,3 +1,4 @@
+#include "json/js.h"
 #include "plan/pln.h"
 #include "script/scr.h"
 
@@ -226,35 +227,9 @@
 static void cmd_show(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
 {
-	const struct cfg *cfg = ((struct ctx *)data)->cfg;
-
 	(void)args;
-	gb_buf_addf(out, "epoch %" PRIu64 " changes %u", cfg->epoch,
-		    cfg->changes->len);
-	for (guint i = 0; i < cfg->vms->len; i++)
-		print(out, cfg_vm(cfg, i)->name);
+	js_config_encode(((struct ctx *)data)->cfg, out);
 	gb_buf_addc(out, '\n');
-	for (guint i = 0; i < cfg->dcs->len; i++) {
-		const struct cfg_dc *dc = cfg_dc(cfg, i);
-
-		gb_buf_addf(out, "dc %.*s %s %" PRId64 "\n", (int)dc->name.len,
-			    dc->name.ptr, dc->out ? "out" : "in",
-			    dc->returned_ms);
-	}
-	for (guint i = 0; i < cfg->services->len; i++) {
-		const struct cfg_service *s = cfg_service(cfg, i);
-		const struct cfg_limits *l = &s->limits;
-		const struct cfg_snapshot *newest = cfg_newest_snapshot(s);
-
-		gb_buf_addf(
-			out,
-			"service %.*s shards %u snapshots %u newest %" PRIu64
-			" limits %u %u %u %u %" PRId64 " %u %" PRId64 " %u\n",
-			(int)s->name.len, s->name.ptr, s->shards->len,
-			s->snapshots->len, newest ? newest->id : 0, l->slots,
-			l->queue, l->connections, l->cold_slots, l->ramp,
-			s->hedge_permille, s->deadline, s->priority);
-	}
 }
 
 /* Guards against a kind without a name or with the name of another. */
--- /dev/null
+++ b/packages/wire/wire-lease.c
@@ -0,0 +1,25 @@
+#include "wire/wire-row.h"
+
+bool_t wire_xdr_heartbeat(XDR *xdrs, struct wire_body *body)
+{
+	struct msg_heartbeat *m = &body->msg->heartbeat;
+
+	return wire_xdr_u64(xdrs, &m->incarnation) &&
+	       wire_xdr_u64(xdrs, &m->epoch) &&
+	       wire_xdr_u64(xdrs, &m->config_version) &&
+	       wire_xdr_u64(xdrs, &m->seq) && wire_xdr_bool(xdrs, &m->ready) &&
+	       wire_xdr_bool(xdrs, &m->leaving) &&
+	       wire_xdr_units(xdrs, &m->wanted);
+}
+
+bool_t wire_xdr_heartbeat_reply(XDR *xdrs, struct wire_body *body)
+{
+	struct msg_heartbeat_reply *m = &body->msg->heartbeat_reply;
+
+	return wire_xdr_u64(xdrs, &m->incarnation) &&
+	       wire_xdr_u64(xdrs, &m->epoch) &&
+	       wire_xdr_u64(xdrs, &m->config_version) &&
+	       wire_xdr_u64(xdrs, &m->seq) && wire_xdr_bool(xdrs, &m->silent) &&
+	       wire_xdr_units(xdrs, &m->granted) &&
+	       wire_xdr_u64(xdrs, &m->live) && wire_xdr_u64(xdrs, &m->ready);
+}
--- /dev/null
+++ b/packages/wire/wire-reader.c
@@ -0,0 +1,134 @@
+#include "wire/wire.h"
+#include "wire/wire-row.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define MARK_SIZE 4
+#define LAST_FRAGMENT 0x80000000u
+#define BUFFER_KEPT (64 * 1024) /* a larger one is freed when empty */
+
+static uint32_t get_mark(const char *bytes);
+static int find_record(struct wire_reader *reader, struct gb_error *err);
+static void join(const struct wire_reader *reader, struct gb_buf *out);
+static struct msg *decode(struct gb_str record, struct gb_error *err);
+
+void wire_reader_feed(struct wire_reader *reader, struct gb_str bytes)
+{
+	struct gb_buf *buf = &reader->buf;
+
+	if (reader->used) {
+		memmove(buf->ptr, buf->ptr + reader->used,
+			buf->len - reader->used);
+		buf->len -= reader->used;
+		reader->used = 0;
+	}
+	if (!buf->len && buf->cap > BUFFER_KEPT)
+		gb_buf_free(buf);
+	gb_buf_add(buf, bytes);
+}
+
+static uint32_t get_mark(const char *bytes)
+{
+	uint32_t mark;
+
+	memcpy(&mark, bytes, sizeof(mark));
+	return ntohl(mark);
+}
+
+/*
+ * Walks the fragments; returns 1 when the last one is complete. Marks count
+ * as part of the size, so that empty fragments cannot fill the buffer.
+ */
+static int find_record(struct wire_reader *reader, struct gb_error *err)
+{
+	size_t have = reader->buf.len - reader->used;
+	const char *bytes = reader->buf.ptr + reader->used;
+
+	while (have - reader->next >= MARK_SIZE) {
+		uint32_t mark = get_mark(bytes + reader->next);
+		size_t len = mark & ~LAST_FRAGMENT;
+		size_t next = reader->next + MARK_SIZE + len;
+
+		if (next > WIRE_RECORD_MAX + MARK_SIZE)
+			return gb_fail(err, GB_ERR_TOO_LARGE, GB_STR("record"),
+				       next);
+		if (next > have)
+			return 0;
+		reader->next = next;
+		reader->size += len;
+		if (mark & LAST_FRAGMENT)
+			return 1;
+	}
+	return 0;
+}
+
+/* Appends the fragments of a complete record without their marks. */
+static void join(const struct wire_reader *reader, struct gb_buf *out)
+{
+	struct gb_str rest = { .ptr = reader->buf.ptr + reader->used,
+			       .len = reader->next };
+
+	while (rest.len) {
+		size_t len = get_mark(rest.ptr) & ~LAST_FRAGMENT;
+
+		gb_buf_add(out, gb_str_sub(rest, MARK_SIZE, len));
+		rest = gb_str_sub(rest, MARK_SIZE + len, rest.len);
+	}
+}
+
+static struct msg *decode(struct gb_str record, struct gb_error *err)
+{
+	struct gb_error own = { 0 };
+	struct msg *msg = g_new0(struct msg, 1);
+	struct wire_body body = { .msg = msg, .size = record.len, .err = &own };
+	bool_t ok;
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, (char *)record.ptr, record.len, XDR_DECODE);
+	ok = wire_xdr_record(&xdrs, &body);
+	if (!ok && own.code == GB_OK)
+		gb_fail(&own, GB_ERR_SYNTAX, msg_kind_name(msg->kind),
+			xdr_getpos(&xdrs));
+	if (ok && xdr_getpos(&xdrs) != record.len)
+		gb_fail(&own, GB_ERR_TOO_LARGE, msg_kind_name(msg->kind),
+			xdr_getpos(&xdrs));
+	xdr_destroy(&xdrs);
+	if (own.code == GB_OK)
+		return msg;
+	if (err)
+		*err = own;
+	msg_free(msg);
+	return NULL;
+}
+
+int wire_reader_next(struct wire_reader *reader, struct msg **msg,
+		     struct gb_error *err)
+{
+	struct gb_str record;
+	struct gb_buf joined = GB_BUF_INIT;
+	int ret;
+
+	ret = reader->buf.len ? find_record(reader, err) : 0;
+	if (ret <= 0)
+		return ret;
+	record = (struct gb_str){ .ptr = reader->buf.ptr + reader->used +
+					 MARK_SIZE,
+				  .len = reader->size };
+	if (reader->next != reader->size + MARK_SIZE) {
+		join(reader, &joined);
+		record = gb_buf_str(&joined);
+	}
+	*msg = decode(record, err);
+	gb_buf_free(&joined);
+	reader->used += reader->next;
+	reader->next = 0;
+	reader->size = 0;
+	return *msg ? 1 : -1;
+}
+
+void wire_reader_free(struct wire_reader *reader)
+{
+	gb_buf_free(&reader->buf);
+	*reader = (struct wire_reader){ 0 };
+}
--- /dev/null
+++ b/packages/wire/wire-row.c
@@ -0,0 +1,22 @@
+#include "wire/wire-row.h"
+
+static const struct wire_row rows[MSG_KINDS] = {
+	[MSG_HEARTBEAT] = { .xdr = wire_xdr_heartbeat },
+	[MSG_HEARTBEAT_REPLY] = { .xdr = wire_xdr_heartbeat_reply },
+	[MSG_QUERY_BATCH] = { .xdr = wire_xdr_batch },
+	[MSG_RESULT] = { .xdr = wire_xdr_result },
+	[MSG_CANCEL] = { .xdr = wire_xdr_cancel },
+	[MSG_VOTE] = { .xdr = wire_xdr_vote },
+	[MSG_VOTE_REPLY] = { .xdr = wire_xdr_vote_reply },
+	[MSG_RELEASE] = { .xdr = wire_xdr_release },
+	[MSG_OUTCOME] = { .xdr = wire_xdr_outcome },
+	[MSG_CONFIG_FETCH] = { .xdr = wire_xdr_config_fetch },
+	[MSG_CONFIG] = { .xdr = wire_xdr_config,
+			 .prepare = wire_prepare_config },
+	[MSG_QUARANTINE] = { .xdr = wire_xdr_quarantine },
+};
+
+const struct wire_row *wire_row(uint32_t kind)
+{
+	return kind < MSG_KINDS ? &rows[kind] : NULL;
+}
--- a/packages/wire/wire.h
+++ b/packages/wire/wire.h
@@ -18,13 +18,19 @@
 #define WIRE_VERSION 1
 #define WIRE_RECORD_MAX (4 * 1024 * 1024)
 
-/* Appends one whole record. */
-void wire_encode(const struct msg *msg, struct gb_buf *out);
+/*
+ * Appends one whole record. Returns -1 and appends nothing for a message that
+ * every reader refuses: one that passes WIRE_RECORD_MAX or has a value out of
+ * range.
+ */
+int wire_encode(const struct msg *msg, struct gb_buf *out);
 
 /* Collects bytes of one connection and cuts them into messages. */
 struct wire_reader {
 	struct gb_buf buf;
 	size_t used; /* bytes at the front that were decoded */
+	size_t next; /* from used to the header of the next fragment */
+	size_t size; /* bytes in the fragments of the record before that */
 };
 
 void wire_reader_feed(struct wire_reader *reader, struct gb_str bytes);
