Scan the body of a one-shard answer once

The choice between result and results looked at the body by a full scan of its own; the first byte decides it, and the check of all bodies follows.

--- a/packages/json/js-answer.c
+++ b/packages/json/js-answer.c
@@ -39,7 +39,7 @@
 	return s;
 }
 
-/* For bodies that were found to be JSON. */
+/* Looks at the first byte only; js_scan() checks the rest. */
 static bool is_array(struct gb_str body)
 {
 	body = trim(body);
@@ -57,7 +57,7 @@
 static bool single_value(const struct nd_answer *answer)
 {
 	return answer->order ||
-	       (answer->bodies_len == 1 && js_scan(answer->bodies[0]) &&
+	       (answer->bodies_len == 1 && trim(answer->bodies[0]).len &&
 		!is_array(answer->bodies[0]));
 }
 
@@ -179,7 +179,8 @@
 	}
 	if (!bodies_ok(answer, single)) {
 		put_refusal(answer->id,
-			    single ? GB_ERR_UNKNOWN_OUTCOME : GB_ERR_IO, out);
+			    answer->order ? GB_ERR_UNKNOWN_OUTCOME : GB_ERR_IO,
+			    out);
 		return -1;
 	}
 	put_head(answer, out);
