--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith
 CFLAGS ?= -O2 -g
-override CFLAGS += -std=gnu11 $(WARN) -MMD -MP -Ipackages -Itests -Ibench \
+override CFLAGS += -std=gnu11 $(WARN) -MMD -MP -Ipackages -Itests -I. \
 	-DH2O_USE_LIBUV=1 $(SANITIZE) $(shell pkg-config --cflags $(PKGS))
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lh2o -lssl -lcrypto -lm
 
@@ -65,11 +65,12 @@
 
 $(UNITS): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/script/scr.o $(LIB)
 	@echo "  LD $@"
-	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+	@$(CC) $(SANITIZE) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
 
 # The test of the command line brings its own HTTP client and output.
 CTL_TESTED = $(filter-out %/ctl-main.c %/ctl-http.c %/ctl-out.c,$(CTL_SRC))
 $(BUILD)/packages/ctl/tests/ctl-test: $(call obj,$(CTL_TESTED))
+$(BUILD)/packages/ctl/tests/http-test: $(call obj,packages/ctl/ctl-http.c)
 
 # The scenario engine without its main function serves the benches too.
 SCENARIO_ENGINE = $(filter-out tests/scenario/scn-main.c,$(SCENARIO_SRC))
@@ -98,6 +99,7 @@
 	@cppcheck --quiet --std=c11 --error-exitcode=1 -j 8 \
 		--enable=warning,performance,portability --inline-suppr \
 		--library=gtk \
+		'-Djson_object_foreach(o,k,v)=for ((k) = 0, (v) = (o); (v);)' \
 		-Ipackages -Itests packages tests bench
 
 install-deps:
