--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -239,10 +239,6 @@
 	g_hash_table_remove(call->gd->calls, &call->call.call);
 	call->result.status = call_status(call, outcome);
 	drop_cancel(call);
-	if (call->result.status == ND_UPSTREAM_MISMATCH)
-		gd_event(call->gd, EV_UPSTREAM_MISMATCH, GB_STR(""),
-			 call->call.replica, (int64_t)call->call.call,
-			 call->result.snapshot);
 }
 
 static void call_release(struct gd_exchange *x)
