--- a/tests/standin/pick-main.c
+++ b/tests/standin/pick-main.c
@@ -24,7 +24,8 @@
 		puts(json_string_value(value));
 		return 1;
 	}
-	text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+	text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY |
+					 JSON_REAL_PRECISION(12));
 	puts(text);
 	free(text);
 	return 1;
