--- a/packages/daemon/gd-client.c
+++ b/packages/daemon/gd-client.c
@@ -8,9 +8,15 @@
 /* An idle connection is kept this long, since a new one may cost 6 ms. */
 #define POOL_IDLE_MS 60000
 
+/* An endpoint without exchanges is forgotten after this time. */
+#define UNUSED_MS (10 * 60 * 1000)
+
 #define ANSWER_MAX (8 * 1024 * 1024)
 
-static void endpoint_free(gpointer data);
+static void endpoint_free(struct gd *gd, void *arg);
+static void on_unused(uv_timer_t *timer);
+static void on_unused_closed(uv_handle_t *handle);
+static gboolean is_value(gpointer key, gpointer value, gpointer data);
 static void endpoint_pump_later(struct gd_endpoint *endpoint);
 static void endpoint_pump(struct gd *gd, void *arg);
 static void exchange_connect(struct gd_exchange *x);
@@ -37,16 +43,38 @@
 	h2o_timeout_init(gd->uv, &client->io_timeout, IO_TIMEOUT_MS);
 	client->ctx.loop = gd->uv;
 	client->ctx.io_timeout = &client->io_timeout;
-	client->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal,
-						  g_free, endpoint_free);
+	client->endpoints =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static gboolean is_value(gpointer key __attribute__((unused)), gpointer value,
+			 gpointer data)
+{
+	return value == data;
 }
 
-static void endpoint_free(gpointer data)
+/* Forgets an endpoint, such as that of a replica that was removed. */
+static void on_unused(uv_timer_t *timer)
 {
-	struct gd_endpoint *endpoint = data;
+	struct gd_endpoint *endpoint = timer->data;
 
+	g_hash_table_foreach_remove(endpoint->gd->client.endpoints, is_value,
+				    endpoint);
 	h2o_socketpool_dispose(&endpoint->pool);
-	g_free(endpoint);
+	uv_close((uv_handle_t *)timer, on_unused_closed);
+}
+
+/* The pool has a timer too, which the loop closes within the same turn. */
+static void on_unused_closed(uv_handle_t *handle)
+{
+	struct gd_endpoint *endpoint = handle->data;
+
+	gd_defer(endpoint->gd, endpoint_free, endpoint);
+}
+
+static void endpoint_free(struct gd *gd __attribute__((unused)), void *arg)
+{
+	g_free(arg);
 }
 
 struct gd_endpoint *gd_endpoint(struct gd *gd, struct gb_str host,
@@ -65,6 +93,8 @@
 	endpoint = g_new0(struct gd_endpoint, 1);
 	endpoint->gd = gd;
 	g_queue_init(&endpoint->waiting);
+	uv_timer_init(gd->uv, &endpoint->unused);
+	endpoint->unused.data = endpoint;
 	h2o_socketpool_init_by_address(
 		&endpoint->pool, (struct sockaddr *)&addr, len, 0, SIZE_MAX);
 	h2o_socketpool_set_timeout(&endpoint->pool, gd->uv, POOL_IDLE_MS);
@@ -104,6 +134,7 @@
 		       bool urgent)
 {
 	x->endpoint = endpoint;
+	uv_timer_stop(&endpoint->unused);
 	uv_timer_init(gd->uv, &x->timer);
 	x->timer.data = x;
 	uv_update_time(gd->uv);
@@ -142,6 +173,8 @@
 	else
 		g_queue_remove(&endpoint->waiting, x);
 	endpoint_pump_later(endpoint);
+	if (!endpoint->active && !endpoint->waiting.length)
+		uv_timer_start(&endpoint->unused, on_unused, UNUSED_MS, 0);
 	x->done(x, outcome);
 	uv_close((uv_handle_t *)&x->timer, on_exchange_closed);
 }
--- a/packages/daemon/gd-http.c
+++ b/packages/daemon/gd-http.c
@@ -7,13 +7,16 @@
 /* Room for a body over the limit, so that its refusal is typed. */
 #define BODY_SLACK (64 * 1024)
 
+/* Interval of the search for callers that do not read their answers. */
+#define SWEEP_MS 1000
+
 struct gd_conn {
 	uv_tcp_t tcp;
 	struct gd *gd;
 	h2o_socket_t *sock;
 	h2o_linklist_t link;
 	struct gd_waiting *waiting; /* NULL unless the node has its request */
-	gb_time busy_since; /* of an answer that is being written; 0 if none */
+	gb_time answered_at; /* when the last answer began to be written */
 };
 
 struct handler {
@@ -56,6 +59,7 @@
 static void on_tcp_closed(uv_handle_t *handle);
 static void on_sock_closed(void *data);
 static int on_req(h2o_handler_t *self, h2o_req_t *req);
+static void on_sweep(uv_timer_t *timer);
 static void on_leaving(h2o_socket_t *sock, const char *err);
 static struct gd_conn *conn_of(const h2o_req_t *req);
 static bool is_path(const struct gd_route *route, struct gb_str path);
@@ -90,6 +94,9 @@
 	http->accept.ctx = &http->ctx;
 	http->accept.hosts = http->hosts;
 
+	uv_timer_init(gd->uv, &http->sweep);
+	http->sweep.data = gd;
+	uv_timer_start(&http->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 	uv_tcp_init(gd->uv, &http->listener);
 	http->listener.data = gd;
 	if (gd_address(gd->settings.host, gd->settings.http_port, &addr, &len))
@@ -128,6 +135,27 @@
 	h2o_accept(&http->accept, conn->sock);
 }
 
+/*
+ * Cuts the connections whose answer is not read. h2o bounds the time of reads,
+ * but not of writes.
+ */
+static void on_sweep(uv_timer_t *timer)
+{
+	struct gd *gd = timer->data;
+	h2o_linklist_t *anchor = &gd->http.conns;
+	gb_time before = gd_now() - gd->settings.http_idle;
+
+	for (h2o_linklist_t *at = anchor->next; at != anchor; at = at->next) {
+		struct gd_conn *conn =
+			H2O_STRUCT_FROM_MEMBER(struct gd_conn, link, at);
+
+		if (conn->sock && !conn->waiting &&
+		    conn->answered_at < before &&
+		    h2o_socket_is_writing(conn->sock))
+			shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+	}
+}
+
 static void on_sock_closed(void *data)
 {
 	struct gd_conn *conn = data;
@@ -274,7 +302,7 @@
 	/* A stopping daemon asks callers to take another connection. */
 	if (gd->phase != GD_RUNNING)
 		req->http1_is_persistent = 0;
-	conn_of(req)->busy_since = gd_now();
+	conn_of(req)->answered_at = gd_now();
 	req->res.status = status;
 	req->res.reason = status < 400 ? "OK" : "Error";
 	req->res.content_length = body.len;
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -61,6 +61,7 @@
 	uint32_t conns_len;
 	GHashTable *waiting; /* handle to struct gd_waiting */
 	uint64_t last_handle;
+	uv_timer_t sweep; /* ends writes that make no progress */
 };
 
 struct gd_client {
@@ -212,6 +213,7 @@
 	uint32_t active;
 	GQueue waiting; /* of struct gd_exchange */
 	bool pumping; /* a deferred start is due */
+	uv_timer_t unused; /* forgets the endpoint when it ends */
 };
 
 struct gd_exchange {
