daemon: let requests that arrive during a stop be answered

A request on a connection that was open or just accepted when the node had stopped was cut. Connections are now closed only after they were idle.

--- a/packages/daemon/gd-http.c
+++ b/packages/daemon/gd-http.c
@@ -10,12 +10,16 @@
 /* Interval of the search for callers that do not read their answers. */
 #define SWEEP_MS 1000
 
+/* Time for a request to arrive on a connection before a stop closes it. */
+#define DRAIN_IDLE (200 * GB_MSEC)
+
 struct gd_conn {
 	uv_tcp_t tcp;
 	struct gd *gd;
 	h2o_socket_t *sock;
 	h2o_linklist_t link;
 	struct gd_waiting *waiting; /* NULL unless the node has its request */
+	gb_time opened_at;
 	gb_time answered_at; /* when the last answer began to be written */
 };
 
@@ -60,6 +64,7 @@
 static void on_sock_closed(void *data);
 static int on_req(h2o_handler_t *self, h2o_req_t *req);
 static void on_sweep(uv_timer_t *timer);
+static bool is_idle(const struct gd_conn *conn, gb_time now);
 static void on_leaving(h2o_socket_t *sock, const char *err);
 static struct gd_conn *conn_of(const h2o_req_t *req);
 static bool is_path(const struct gd_route *route, struct gb_str path);
@@ -119,6 +124,7 @@
 		return;
 	conn = g_new0(struct gd_conn, 1);
 	conn->gd = gd;
+	conn->opened_at = gd_now();
 	h2o_linklist_insert(&http->conns, &conn->link);
 	met_set(&gd->metrics, MET_CONNECTIONS, ++http->conns_len);
 	uv_tcp_init(gd->uv, &conn->tcp);
@@ -406,16 +412,25 @@
 	uv_close((uv_handle_t *)&gd->http.listener, NULL);
 }
 
+/* Tells whether no request is on its way in or out for some time. */
+static bool is_idle(const struct gd_conn *conn, gb_time now)
+{
+	if (!conn->sock || conn->waiting || h2o_socket_is_writing(conn->sock) ||
+	    conn->sock->input->size)
+		return false;
+	return now >= MAX(conn->opened_at, conn->answered_at) + DRAIN_IDLE;
+}
+
 bool gd_http_drain(struct gd *gd)
 {
 	h2o_linklist_t *anchor = &gd->http.conns;
+	gb_time now = gd_now();
 
 	for (h2o_linklist_t *at = anchor->next; at != anchor; at = at->next) {
 		struct gd_conn *conn =
 			H2O_STRUCT_FROM_MEMBER(struct gd_conn, link, at);
 
-		if (conn->sock && !conn->waiting &&
-		    !h2o_socket_is_writing(conn->sock))
+		if (is_idle(conn, now))
 			shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
 	}
 	return h2o_linklist_is_empty(anchor);
--- a/packages/daemon/gd-loop.c
+++ b/packages/daemon/gd-loop.c
@@ -8,8 +8,8 @@
  */
 #define STOP_GRACE GB_SEC
 
-/* Longest time that the last answers may take to leave. */
-#define FLUSH_MAX (2 * GB_SEC)
+/* Longest time that the last answers may take to leave once all are made. */
+#define FLUSH_MAX (5 * GB_SEC)
 
 /* Interval at which a stopping daemon checks whether it is done. */
 #define STOP_POLL (10 * GB_MSEC)
@@ -147,6 +147,9 @@
 		gd->loop.flush_begin = now;
 		gd_http_stop_listening(gd);
 	}
+	/* A request that came last is answered, which its deadline bounds. */
+	if (g_hash_table_size(gd->http.waiting))
+		gd->loop.flush_begin = now;
 	if (now >= gd->loop.flush_begin + FLUSH_MAX)
 		uv_stop(gd->uv);
 	else if (gd_http_drain(gd) && peers_idle && !gd->loop.deferred.length)
