--- a/packages/once/tests/explore-test.c
+++ b/packages/once/tests/explore-test.c
@@ -54,6 +54,7 @@
 	struct gb_str name;
 	int64_t memory; /* added to the start of the voter's memory */
 	bool at_adoption;
+	bool skip; /* keeps the memory over skipped epochs */
 	bool any_epoch;
 	bool unsettled;
 	bool count_only; /* counts granted votes only for "not run" */
@@ -65,6 +66,7 @@
 	{ .name = { "no-abstention", 13 }, .memory = -1000000 },
 	{ .name = { "one-skew", 8 }, .memory = -SKEW },
 	{ .name = { "at-adoption", 11 }, .at_adoption = true },
+	{ .name = { "skipped-epoch", 13 }, .skip = true },
 	{ .name = { "any-epoch", 9 }, .any_epoch = true },
 	{ .name = { "unsettled", 9 }, .unsettled = true },
 	{ .name = { "count-only", 10 }, .count_only = true },
@@ -140,7 +142,9 @@
 static void adopt(struct world *world, uint32_t id, struct cfg *cfg)
 {
 	struct vm *vm = &world->vm[id - 1];
-	bool was = vm->cfg && is_granter(vm->cfg, id);
+	/* It may not have been a granter in an epoch that it skipped. */
+	bool was = vm->cfg && is_granter(vm->cfg, id) &&
+		   (cfg->epoch == vm->cfg->epoch + 1 || world->fault->skip);
 
 	if (vm->cfg && cfg->epoch <= vm->cfg->epoch)
 		return;
