--- a/packages/once/once.h
+++ b/packages/once/once.h
@@ -57,8 +57,10 @@
 
 /*
  * Starts the memory at wall_ms; a later call with an earlier time has no
- * effect, so that a clock jump cannot extend it backwards. A VM that becomes a
- * granter again makes a new voter instead, which abstains until it is started.
+ * effect, so that a clock jump cannot extend it backwards. A VM makes a new
+ * voter, which abstains until it is started, when it adopts an epoch and was no
+ * granter in the one before or skipped one, in which keys may have run that it
+ * was not asked about.
  */
 void once_voter_start(struct once_voter *voter, int64_t wall_ms);
 
--- a/packages/quorum/tests/explore-test.c
+++ b/packages/quorum/tests/explore-test.c
@@ -82,30 +82,6 @@
 	int violations;
 };
 
-static void no_silence(struct proc *proc);
-static void no_margin(struct proc *proc);
-static void same_sequences(struct proc *proc);
-static void take_late(struct proc *proc, struct packet *packet);
-static void inherit(struct proc *proc, struct packet *packet);
-static void shorten_grant(struct proc *proc, struct packet *packet);
-static void from_receipt(struct proc *proc, const struct packet *packet,
-			 gb_time now);
-static void since_ever(struct proc *proc, const struct packet *packet,
-		       gb_time now);
-
-static const struct fault faults[] = {
-	{ .name = { "none", 4 } },
-	{ .name = { "no-silence", 10 }, .start = no_silence },
-	{ .name = { "no-margin", 9 }, .start = no_margin },
-	{ .name = { "same-sequences", 14 }, .start = same_sequences },
-	{ .name = { "take-late", 9 }, .heartbeat = take_late },
-	{ .name = { "inherit", 7 }, .heartbeat = inherit },
-	{ .name = { "short-grant", 11 }, .heartbeat = shorten_grant },
-	{ .name = { "from-receipt", 12 }, .reply = from_receipt },
-	{ .name = { "since-ever", 10 }, .reply = since_ever },
-	{ .name = { "unsettled", 9 }, .unsettled = true },
-};
-
 static const struct mode modes[] = {
 	/* As the design sets it, over a bad network. */
 	{ .heartbeat = 300 * GB_MSEC,
@@ -145,25 +121,6 @@
 	  .change = 20 },
 };
 
-static bool chance(struct world *world, uint32_t one_in);
-static gb_time between(struct world *world, gb_time low, gb_time high);
-static gb_time local(const struct world *world, const struct proc *proc);
-static struct cfg *newest(const struct world *world);
-static void adopt(struct proc *proc, struct cfg *cfg);
-static void start(struct world *world, uint32_t vm);
-static void stop(struct world *world, struct proc *proc);
-static void post(struct world *world, const struct packet *packet);
-static void send_heartbeats(struct world *world, struct proc *proc);
-static void receive(struct world *world, struct proc *proc,
-		    struct packet *packet);
-static void learn(struct world *world, struct proc *proc, uint64_t version);
-static void deliver(struct world *world);
-static bool may_change_roster(struct world *world);
-static void change_config(struct world *world);
-static void disturb(struct world *world);
-static void check(struct world *world);
-static void run(struct world *world, uint32_t vms, int steps);
-
 static void no_silence(struct proc *proc)
 {
 	proc->granter.silent_until = 0;
@@ -219,6 +176,19 @@
 		proc->holder.wanted_since[units[i]] = 0;
 }
 
+static const struct fault faults[] = {
+	{ .name = { "none", 4 } },
+	{ .name = { "no-silence", 10 }, .start = no_silence },
+	{ .name = { "no-margin", 9 }, .start = no_margin },
+	{ .name = { "same-sequences", 14 }, .start = same_sequences },
+	{ .name = { "take-late", 9 }, .heartbeat = take_late },
+	{ .name = { "inherit", 7 }, .heartbeat = inherit },
+	{ .name = { "short-grant", 11 }, .heartbeat = shorten_grant },
+	{ .name = { "from-receipt", 12 }, .reply = from_receipt },
+	{ .name = { "since-ever", 10 }, .reply = since_ever },
+	{ .name = { "unsettled", 9 }, .unsettled = true },
+};
+
 static bool chance(struct world *world, uint32_t one_in)
 {
 	return !gb_rng_below(&world->rng, one_in);
--- a/packages/quorum/tests/quorum-test.c
+++ b/packages/quorum/tests/quorum-test.c
@@ -14,47 +14,6 @@
 	struct quo_holder holder;
 };
 
-static void *open_ctx(void);
-static void close_ctx(void *data);
-static gb_time time_of(const struct scr_args *args);
-static unsigned int granters_of(unsigned int roster);
-static void cmd_roster(void *data, const struct scr_args *args,
-		       struct gb_buf *out);
-static void cmd_granter(void *data, const struct scr_args *args,
-			struct gb_buf *out);
-static void cmd_heartbeat(void *data, const struct scr_args *args,
-			  struct gb_buf *out);
-static void cmd_heard(void *data, const struct scr_args *args,
-		      struct gb_buf *out);
-static void cmd_members(void *data, const struct scr_args *args,
-			struct gb_buf *out);
-static void cmd_owner(void *data, const struct scr_args *args,
-		      struct gb_buf *out);
-static void cmd_want(void *data, const struct scr_args *args,
-		     struct gb_buf *out);
-static void cmd_release(void *data, const struct scr_args *args,
-			struct gb_buf *out);
-static void cmd_send(void *data, const struct scr_args *args,
-		     struct gb_buf *out);
-static void cmd_reply(void *data, const struct scr_args *args,
-		      struct gb_buf *out);
-static void cmd_thresholds(void *data, const struct scr_args *args,
-			   struct gb_buf *out);
-
-static const struct scr_command commands[] = {
-	{ .name = { "roster", 6 }, .run = cmd_roster },
-	{ .name = { "granter", 7 }, .run = cmd_granter },
-	{ .name = { "heartbeat", 9 }, .run = cmd_heartbeat },
-	{ .name = { "heard", 5 }, .run = cmd_heard },
-	{ .name = { "members", 7 }, .run = cmd_members },
-	{ .name = { "owner", 5 }, .run = cmd_owner },
-	{ .name = { "want", 4 }, .run = cmd_want },
-	{ .name = { "release", 7 }, .run = cmd_release },
-	{ .name = { "send", 4 }, .run = cmd_send },
-	{ .name = { "reply", 5 }, .run = cmd_reply },
-	{ .name = { "thresholds", 10 }, .run = cmd_thresholds },
-};
-
 static void *open_ctx(void)
 {
 	struct ctx *ctx = g_new0(struct ctx, 1);
@@ -285,6 +244,19 @@
 
 int main(int argc, char **argv)
 {
+	static const struct scr_command commands[] = {
+		{ .name = { "roster", 6 }, .run = cmd_roster },
+		{ .name = { "granter", 7 }, .run = cmd_granter },
+		{ .name = { "heartbeat", 9 }, .run = cmd_heartbeat },
+		{ .name = { "heard", 5 }, .run = cmd_heard },
+		{ .name = { "members", 7 }, .run = cmd_members },
+		{ .name = { "owner", 5 }, .run = cmd_owner },
+		{ .name = { "want", 4 }, .run = cmd_want },
+		{ .name = { "release", 7 }, .run = cmd_release },
+		{ .name = { "send", 4 }, .run = cmd_send },
+		{ .name = { "reply", 5 }, .run = cmd_reply },
+		{ .name = { "thresholds", 10 }, .run = cmd_thresholds },
+	};
 	const struct scr_suite suite = {
 		.name = "quorum",
 		.folder = "packages/quorum/tests",
