--- a/packages/shard/tests/shard-random.h
+++ b/packages/shard/tests/shard-random.h
@@ -210,7 +210,7 @@
 	uint32_t replica = gb_rng_below(&sim->rng, REPLICAS);
 
 	sim->closed[replica] = !sim->closed[replica];
-	world_close(sim->w, (int)replica, -1, sim->closed[replica]);
+	world_close(sim->w, (int)replica, -1, sim->closed[replica], false);
 }
 
 static void sim_step(struct sim *sim)
--- a/packages/shard/tests/shard-test.c
+++ b/packages/shard/tests/shard-test.c
@@ -249,7 +249,8 @@
 	w->out = out;
 	world_close(w, (int)scr_int(args, GB_STR("replica"), -1),
 		    (int)scr_int(args, GB_STR("dc"), -1),
-		    scr_int(args, GB_STR("closed"), 1));
+		    scr_int(args, GB_STR("closed"), 1),
+		    scr_int(args, GB_STR("removed"), 0));
 }
 
 /* Warms all upstreams by rounds of successes that take 10 ms each. */
--- a/packages/shard/tests/shard-world.h
+++ b/packages/shard/tests/shard-world.h
@@ -74,8 +74,9 @@
 	*w = (struct world){ .sent = w->sent };
 }
 
-/* Changes the replica or data centre and lets the shard follow. */
-static void world_close(struct world *w, int replica, int dc, bool closed)
+/* Changes or removes the replica or data centre; the shard follows. */
+static void world_close(struct world *w, int replica, int dc, bool closed,
+			bool removed)
 {
 	struct cfg *next = cfg_copy(w->cfg);
 	struct cfg_service *service =
@@ -83,7 +84,9 @@
 	struct cfg_shard *shard =
 		&g_array_index(service->shards, struct cfg_shard, 0);
 
-	if (replica >= 0)
+	if (replica >= 0 && removed)
+		g_array_remove_index(shard->replicas, replica);
+	else if (replica >= 0)
 		g_array_index(shard->replicas, struct cfg_replica, replica)
 			.draining = closed;
 	if (dc >= 0)
