Read the events of a server in parts

The daemon sends at most 10,000 events at once, oldest first, so a full ring takes more than one answer. The catalogue follows the numbers that the daemon gives.

--- a/packages/ctl/ctl-timeline.c
+++ b/packages/ctl/ctl-timeline.c
@@ -3,19 +3,38 @@
 
 #include <inttypes.h>
 
+/*
+ * A server sends a limited number of events at once, oldest first; the next
+ * ones are asked for by the last stamp. The number of rounds is bounded, since
+ * a busy server adds events while it is asked.
+ */
+#define ROUNDS_MAX 100
+
 /* Events of all servers; the strings of each are owned. */
 struct timeline {
 	GArray *events; /* of struct ev_event */
 	uint32_t bad; /* lines that are no event */
 };
 
+/* A server with the stamp of its last event so far. */
+struct source {
+	struct ctl_server server;
+	uint64_t last;
+	bool done;
+	struct gb_buf path;
+};
+
 static struct cfg *read_config(const struct ctl_line *line);
 static GArray *find_servers(const struct ctl_line *line, struct cfg *cfg);
 static gint by_stamp(gconstpointer a, gconstpointer b);
-static void take(struct timeline *timeline, struct gb_str text,
-		 const struct ev_filter *filter);
+static void take(struct timeline *timeline, struct source *source,
+		 struct gb_str text, const struct ev_filter *filter);
 static void add_wall_time(uint64_t hlc, struct gb_buf *out);
 static void print(const struct timeline *timeline, bool json);
+static size_t begin_round(struct source *sources, size_t len,
+			  struct ctl_call *calls, struct source **asked);
+static void collect_round(struct timeline *timeline, struct source *sources,
+			  size_t len, const struct ctl_line *line, int *status);
 static int collect(struct timeline *timeline, const GArray *servers,
 		   const struct ctl_line *line);
 
@@ -56,10 +75,11 @@
 	return ev_cmp(a, b);
 }
 
-/* Takes the events of one server that pass the filter. */
-static void take(struct timeline *timeline, struct gb_str text,
-		 const struct ev_filter *filter)
+/* Takes the events of an answer that pass the filter; none ends the source. */
+static void take(struct timeline *timeline, struct source *source,
+		 struct gb_str text, const struct ev_filter *filter)
 {
+	uint64_t before = source->last;
 	struct ev_event event;
 	struct gb_str row;
 
@@ -71,11 +91,13 @@
 			timeline->bad++;
 			continue;
 		}
+		source->last = MAX(source->last, event.hlc);
 		if (ev_filter_match(filter, &event))
 			g_array_append_val(timeline->events, event);
 		else
 			js_event_free(&event);
 	}
+	source->done = source->last == before;
 }
 
 /* Appends the wall time of a stamp, such as 2026-12-04T11:00:00.123Z. */
@@ -112,29 +134,81 @@
 	}
 }
 
-/* Asks all servers; a missing one is named, since the line has a gap then. */
-static int collect(struct timeline *timeline, const GArray *servers,
-		   const struct ctl_line *line)
+/* Fills one call for each source that may have more events. */
+static size_t begin_round(struct source *sources, size_t len,
+			  struct ctl_call *calls, struct source **asked)
 {
-	struct ctl_call *calls =
-		ctl_calls(servers, GB_STR("GET"), GB_STR("/v1/admin/events"));
-	int status = CTL_UNREACHABLE;
+	size_t calls_len = 0;
+
+	for (size_t i = 0; i < len; i++) {
+		struct source *source = &sources[i];
+
+		if (source->done)
+			continue;
+		gb_buf_reset(&source->path);
+		gb_buf_add(&source->path, GB_STR("/v1/admin/events"));
+		if (source->last)
+			gb_buf_addf(&source->path, "?after=%" PRIu64,
+				    source->last);
+		asked[calls_len] = source;
+		calls[calls_len++] =
+			(struct ctl_call){ .server = source->server,
+					   .method = GB_STR("GET"),
+					   .path = gb_buf_str(&source->path) };
+	}
+	return calls_len;
+}
 
-	ctl_http_run(calls, servers->len, line->timeout);
-	for (guint i = 0; i < servers->len; i++) {
+/* Asks all sources; a failed one is named, as the line has a gap then. */
+static void collect_round(struct timeline *timeline, struct source *sources,
+			  size_t len, const struct ctl_line *line, int *status)
+{
+	struct ctl_call *calls = g_new0(struct ctl_call, len);
+	struct source **asked = g_new0(struct source *, len);
+	size_t calls_len = begin_round(sources, len, calls, asked);
+
+	ctl_http_run(calls, calls_len, line->timeout);
+	for (size_t i = 0; i < calls_len; i++) {
 		enum gb_code code;
 		int fault = ctl_fault(&calls[i], &code);
 
 		if (fault == CTL_DONE) {
-			take(timeline, gb_buf_str(&calls[i].answer),
+			take(timeline, asked[i], gb_buf_str(&calls[i].answer),
 			     &line->filter);
-			status = CTL_DONE;
-		} else if (status == CTL_UNREACHABLE) {
-			status = fault;
+			*status = CTL_DONE;
+			continue;
 		}
+		asked[i]->done = true;
+		if (*status == CTL_UNREACHABLE)
+			*status = fault;
 	}
-	ctl_http_free(calls, servers->len);
+	ctl_http_free(calls, calls_len);
+	g_free(asked);
 	g_free(calls);
+}
+
+static int collect(struct timeline *timeline, const GArray *servers,
+		   const struct ctl_line *line)
+{
+	struct source *sources = g_new0(struct source, servers->len);
+	int status = CTL_UNREACHABLE;
+	bool open = true;
+
+	for (guint i = 0; i < servers->len; i++)
+		sources[i].server =
+			g_array_index(servers, struct ctl_server, i);
+	for (int round = 0; open && round < ROUNDS_MAX; round++) {
+		collect_round(timeline, sources, servers->len, line, &status);
+		open = false;
+		for (guint i = 0; i < servers->len; i++)
+			open |= !sources[i].done;
+	}
+	if (open)
+		ctl_warn(GB_STR("the servers add events faster than they can "
+				"be read; the newest are left out"));
+	for (guint i = 0; i < servers->len; i++)
+		gb_buf_free(&sources[i].path);
+	g_free(sources);
 	return status;
 }
 
