--- a/packages/ctl/ctl-main.c
+++ b/packages/ctl/ctl-main.c
@@ -36,7 +36,7 @@
 	{ .name = "timeout-ms",
 	  .key = 't',
 	  .arg = "MS",
-	  .doc = "Time for all answers (default 5000)" },
+	  .doc = "Time for all answers (default 10000)" },
 	{ .name = "output",
 	  .key = 'o',
 	  .arg = "FILE",
@@ -206,7 +206,8 @@
 
 int main(int argc, char **argv)
 {
-	struct parse parse = { .line.timeout = 5 * GB_SEC,
+	/* A server looks 5 s for the outcome of a write before it answers. */
+	struct parse parse = { .line.timeout = 10 * GB_SEC,
 			       .line.filter.vm = -1 };
 	struct argp argp = { .options = options,
 			     .parser = parse_option,
