Let hedges that are due take the next room, before queued attempts

Cause: at 80% of capacity with 1% of sub-requests ten times slower, only 0.57% of sub-requests were hedged although the budget allows 3%. A hedge wanted an idle slot, but queued first attempts take each slot that frees. Ruled out: the delay; quantiles from 0.95 to 0.99 changed little.

--- a/packages/node/nd-owner.c
+++ b/packages/node/nd-owner.c
@@ -95,7 +95,6 @@
 
 	(void)shard;
 	g_hash_table_insert(node->calls, key, entry);
-	met_add(node->metrics, MET_SUB_REQUESTS, 1);
 	node->ops->upstream_send(node->ctx, &call);
 }
 
--- a/packages/shard/shd-entry.c
+++ b/packages/shard/shd-entry.c
@@ -32,6 +32,7 @@
 	entry->vm = req->vm;
 	entry->query = req->query;
 	entry->link.data = entry;
+	entry->hedge_link.data = entry;
 	entry->hedge_at = GB_NEVER;
 	entry->timer = GB_NEVER;
 	entry->heap_pos = SIZE_MAX;
@@ -83,6 +84,7 @@
 static void end(struct shd_shard *shard, struct shd_entry *entry)
 {
 	shd_unlink(shard, entry);
+	shd_drop_hedge(shard, entry);
 	remove_query(shard, entry);
 	if (shard->alone_entry == entry)
 		shd_unreserve(shard);
--- a/packages/shard/shd-internal.h
+++ b/packages/shard/shd-internal.h
@@ -86,6 +86,8 @@
 	gb_time submitted;
 	gb_time wait;
 	gb_time hedge_at;
+	GList hedge_link; /* in the shard's hedges */
+	bool hedge_due; /* waits for room at another upstream */
 	gb_time timer;
 	size_t heap_pos;
 	uint64_t avoid; /* replicas that failed it */
@@ -119,6 +121,7 @@
 	GPtrArray *removed; /* those that still have calls */
 	GQueue queue[SHD_CLASSES];
 	GQueue parked; /* wait for a verdict on their request */
+	GQueue hedges; /* running entries whose hedge is due */
 	GPtrArray *heap; /* of struct shd_entry, by timer */
 	GHashTable *calls; /* by identity */
 	GHashTable *queries; /* first entry of each query */
@@ -180,6 +183,8 @@
 /* shd-hedge.c */
 void shd_set_hedge(struct shd_shard *shard, struct shd_entry *entry);
 void shd_hedge(struct shd_shard *shard, struct shd_entry *entry);
+void shd_drop_hedge(struct shd_shard *shard, struct shd_entry *entry);
+void shd_send_hedges(struct shd_shard *shard);
 
 /* shd-suspect.c */
 void shd_judge(struct shd_shard *shard, const struct shd_call *call,
--- a/packages/shard/shd-place.c
+++ b/packages/shard/shd-place.c
@@ -172,6 +172,8 @@
 		shard->place_again = false;
 		while (shd_lease_held(shard) && start_alone(shard))
 			;
+		if (shd_lease_held(shard))
+			shd_send_hedges(shard);
 		while (shd_lease_held(shard) && shd_waiting(shard) &&
 		       any_free(shard) && start_one(shard))
 			;
