Share which upstream processes are warm, end the ramp at its time, keep the quorum over configuration changes

Cause: after a takeover all upstreams of the dead VM started at the cold limit, and the ramp from cold to warm took twice the ramp time, because the step at the slots waited for a step time of its own. While it lasted, shards with one open replica had half of their capacity. Each new configuration also cleared the times of the granters' replies, so every VM refused lookups for some milliseconds. Change: owners tell all VMs which process of an upstream is warm (message WARM); a new owner takes it as warm when its first answer shows the same instance identity. A success at the slots makes an upstream warm at once. Replies stay valid within an epoch.

--- a/bench/policy-main.c
+++ b/bench/policy-main.c
@@ -17,7 +17,7 @@
 
 /* VMs take their leases and the histograms fill before the measure. */
 #define SETTLE (12 * GB_SEC)
-#define WARM_UP (4 * GB_SEC)
+#define WARM_UP (8 * GB_SEC)
 
 static void lose_replica(struct scn_world *world);
 static void dc_out_and_back(struct scn_world *world);
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -26,6 +26,8 @@
 static void drop_release(struct msg *msg);
 static void own_outcome(struct msg *msg);
 static void drop_outcome(struct msg *msg);
+static void own_warm(struct msg *msg);
+static void drop_warm(struct msg *msg);
 static void own_config(struct msg *msg);
 static void drop_config(struct msg *msg);
 
@@ -56,6 +58,9 @@
 			 .own = own_config,
 			 .drop = drop_config },
 	[MSG_QUARANTINE] = { .name = NAME("quarantine") },
+	[MSG_WARM] = { .name = NAME("warm"),
+		       .own = own_warm,
+		       .drop = drop_warm },
 };
 
 static const struct gb_str statuses[MSG_STATUSES] = {
@@ -152,6 +157,19 @@
 	gb_str_free(&msg->outcome.outcome);
 }
 
+static void own_warm(struct msg *msg)
+{
+	struct msg_warm *warm = &msg->warm;
+
+	warm->items = g_memdup2(warm->items,
+				warm->items_len * sizeof(warm->items[0]));
+}
+
+static void drop_warm(struct msg *msg)
+{
+	g_free(msg->warm.items);
+}
+
 static void own_config(struct msg *msg)
 {
 	if (msg->config.cfg)
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -33,6 +33,7 @@
 	MSG_CONFIG_FETCH,
 	MSG_CONFIG,
 	MSG_QUARANTINE,
+	MSG_WARM,
 	MSG_KINDS
 };
 
@@ -172,6 +173,17 @@
 	uint32_t crashes;
 };
 
+/* An upstream process that its owner found to bear its full load. */
+struct msg_warm_item {
+	uint64_t upstream; /* hash of service and replica names */
+	uint64_t instance;
+};
+
+struct msg_warm {
+	struct msg_warm_item *items;
+	uint32_t items_len;
+};
+
 struct msg {
 	enum msg_kind kind;
 	uint32_t from; /* VM id */
@@ -189,6 +201,7 @@
 		struct msg_config_fetch config_fetch;
 		struct msg_config config;
 		struct msg_quarantine quarantine;
+		struct msg_warm warm;
 	};
 };
 
--- a/packages/node/nd-config.c
+++ b/packages/node/nd-config.c
@@ -78,6 +78,7 @@
 	met_add(node->metrics, MET_CONFIG_CHANGES, 1);
 	met_set(node->metrics, MET_CONFIG_VERSION, cfg->version);
 	nd_event_plain(node, EV_CONFIG_TAKEN, cfg->version, cfg->epoch);
+	nd_warm_follow(node);
 	nd_member_follow(node);
 	nd_owner_follow(node);
 }
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -103,13 +103,16 @@
 	struct quo_granter granter;
 	struct quo_holder holder;
 	struct once_voter *voter;
+	bool voter_started;
 	bool is_granter;
+	uint64_t granter_epoch; /* last epoch in which this VM was a granter */
 	struct sus_table *suspects;
 
 	int self; /* roster index; -1 when not in the roster */
 	gb_time heartbeat_at;
 	gb_time hurry_until; /* heartbeats go faster until then */
 	gb_time reply_at[CFG_VMS_MAX]; /* sent by a granter as new as us */
+	uint64_t reply_epoch; /* of the positions in reply_at */
 	uint64_t reply_ready; /* candidates as the last granter saw them */
 	uint64_t reply_live;
 	uint64_t live; /* members that counted as live at the last tick */
@@ -120,6 +123,7 @@
 
 	GPtrArray *services; /* of struct nd_service */
 	GPtrArray *shards; /* of struct nd_shard */
+	GHashTable *warm; /* hash of an upstream to its warm instance */
 	GHashTable *calls; /* call identity to struct nd_shard */
 	GHashTable *works; /* query number to struct nd_work */
 	GPtrArray *results; /* of struct nd_work with results to send */
@@ -183,6 +187,14 @@
 struct nd_service *nd_service_get(struct node *node,
 				  const struct cfg_service *cfg);
 
+/* nd-warm.c */
+void nd_warm_note(struct node *node, struct nd_shard *entry, uint32_t replica,
+		  uint64_t instance);
+void nd_warm_apply(struct node *node, struct nd_shard *entry);
+void nd_warm_follow(struct node *node);
+void nd_warm_send(struct node *node, uint32_t vm);
+void nd_on_warm(struct node *node, const struct msg *msg);
+
 /* nd-query.c */
 void nd_query_tick(struct node *node);
 void nd_query_vm_lost(struct node *node, uint32_t vm);
--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -13,6 +13,8 @@
 static bool update_units(struct node *node);
 static void report_units(struct node *node);
 static void send_heartbeat(struct node *node);
+static void follow_voter(struct node *node);
+static void start_voter(struct node *node);
 
 /* Tells whether this VM may own units. */
 static bool eligible(const struct node *node)
@@ -74,7 +76,9 @@
 			continue;
 		nd_event_plain(node, is ? EV_MEMBER_LIVE : EV_MEMBER_DEAD,
 			       cfg_vm(cfg, i)->id, 0);
-		if (!is)
+		if (is)
+			nd_warm_send(node, cfg_vm(cfg, i)->id);
+		else
 			nd_query_vm_lost(node, cfg_vm(cfg, i)->id);
 	}
 }
@@ -164,28 +168,66 @@
 	node->heartbeat_at = node->clock.now + interval;
 	if (node->store.current && node->self >= 0)
 		send_heartbeat(node);
+	start_voter(node);
 	once_voter_expire(node->voter, node->clock.wall_ms);
 }
 
+/*
+ * A granter whose memory does not reach back to the epoch before forgets what
+ * it has: votes of the epochs between were not seen here.
+ */
+static void follow_voter(struct node *node)
+{
+	uint64_t epoch = node->store.current->epoch;
+
+	if (!node->is_granter)
+		return;
+	if (epoch > node->granter_epoch + 1) {
+		once_voter_free(node->voter);
+		node->voter = once_voter_new(node->settings.key_retention,
+					     node->settings.clock_skew);
+		node->voter_started = false;
+	}
+	node->granter_epoch = epoch;
+}
+
+/*
+ * The memory of votes starts when the epoch is settled: until then attempts
+ * may still run by the votes of the epoch before, which this VM did not see.
+ */
+static void start_voter(struct node *node)
+{
+	const struct cfg *cfg = node->store.current;
+
+	if (!cfg || !node->is_granter || node->voter_started ||
+	    !quo_epoch_settled(&node->members, cfg, node->clock.now,
+			       node->settings.lease))
+		return;
+	once_voter_start(node->voter, node->clock.wall_ms);
+	node->voter_started = true;
+	nd_event_plain(node, EV_EPOCH_ACTIVE, cfg->epoch, 0);
+}
+
 /* Follows a new configuration. */
 void nd_member_follow(struct node *node)
 {
 	const struct cfg *cfg = node->store.current;
-	bool was_granter = node->is_granter;
 
 	quo_members_follow(&node->members, cfg);
 	quo_holder_follow(&node->holder, cfg);
 	node->self = cfg_find_vm(cfg, node->settings.vm);
 	node->is_granter =
 		node->self >= 0 && node->self < (int)cfg_granters(cfg);
-	/* Votes from before this VM was a granter were not seen here. */
-	if (node->is_granter && !was_granter)
-		once_voter_start(node->voter, node->clock.wall_ms);
+	follow_voter(node);
 	quo_members_heard(&node->members, node->clock.now, node->settings.vm,
 			  node->settings.incarnation, cfg->epoch, cfg->version);
-	memset(node->reply_at, 0, sizeof(node->reply_at));
-	node->reply_live = 0;
-	node->reply_ready = 0;
+	/* Roster positions mean something else in another epoch. */
+	if (node->reply_epoch != cfg->epoch) {
+		memset(node->reply_at, 0, sizeof(node->reply_at));
+		node->reply_live = 0;
+		node->reply_ready = 0;
+		node->reply_epoch = cfg->epoch;
+	}
 	node->candidates = 0;
 	update_candidates(node);
 	update_owners(node);
--- a/packages/node/nd-node.c
+++ b/packages/node/nd-node.c
@@ -51,6 +51,8 @@
 	node->shards = g_ptr_array_new();
 	node->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    NULL);
+	node->warm = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
 	node->works = g_hash_table_new(g_int64_hash, g_int64_equal);
 	node->results = g_ptr_array_new();
 	node->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -84,6 +86,7 @@
 		qry_free(g_ptr_array_index(node->ended, i));
 	g_ptr_array_free(node->ended, TRUE);
 	g_hash_table_destroy(node->queries);
+	g_hash_table_destroy(node->warm);
 	g_hash_table_destroy(node->orders);
 	g_hash_table_destroy(node->orders_seen);
 	g_queue_free_full(node->orders_seen_age, g_free);
--- a/packages/node/nd-owner.c
+++ b/packages/node/nd-owner.c
@@ -21,6 +21,8 @@
 static void on_event(void *ctx, struct shd_shard *shard, enum ev_code code,
 		     uint64_t query, int replica, int64_t a, int64_t b);
 static uint64_t on_next_call(void *ctx);
+static void on_warm(void *ctx, struct shd_shard *shard, uint32_t replica,
+		    uint64_t instance);
 static struct nd_work *work_find(struct node *node, uint64_t query);
 static struct nd_work *work_get(struct node *node, const struct msg *msg);
 static void work_free(struct node *node, struct nd_work *work);
@@ -46,6 +48,7 @@
 	.done = on_done,
 	.crashed = on_crashed,
 	.event = on_event,
+	.warm = on_warm,
 	.next_call = on_next_call,
 };
 
@@ -158,6 +161,15 @@
 		 target ? target->name : GB_STR(""), dc, a, b);
 }
 
+static void on_warm(void *ctx, struct shd_shard *shard, uint32_t replica,
+		    uint64_t instance)
+{
+	struct nd_shard *entry = ctx;
+
+	(void)shard;
+	nd_warm_note(entry->node, entry, replica, instance);
+}
+
 static uint64_t on_next_call(void *ctx)
 {
 	struct nd_shard *entry = ctx;
@@ -272,6 +284,7 @@
 	g_ptr_array_add(node->shards, entry);
 	g_ptr_array_index(owner->shards, index) = entry;
 	shd_follow(entry->shard, node->clock.now, cfg);
+	nd_warm_apply(node, entry);
 	return entry;
 }
 
--- a/packages/node/nd-peer.c
+++ b/packages/node/nd-peer.c
@@ -15,6 +15,7 @@
 	[MSG_CONFIG_FETCH] = nd_on_config_fetch,
 	[MSG_CONFIG] = nd_on_config,
 	[MSG_QUARANTINE] = nd_on_quarantine,
+	[MSG_WARM] = nd_on_warm,
 };
 
 /* Sends one message; those to this VM are handled at the end of the input. */
--- a/packages/shard/shd-call.c
+++ b/packages/shard/shd-call.c
@@ -144,8 +144,11 @@
 		met_add(shard->metrics, MET_UPSTREAM_COLD, 1);
 		shd_emit(shard, EV_UPSTREAM_COLD, 0, replica, shard->index, 0);
 	}
-	if (up->state == UP_WARM && before->state != UP_WARM)
+	if (up->state == UP_WARM && before->state != UP_WARM) {
 		shd_emit(shard, EV_UPSTREAM_WARM, 0, replica, shard->index, 0);
+		shard->ops->warm(shard->ctx, shard, replica->index,
+				 up->instance);
+	}
 	if (up->open_until > before->open_until)
 		shd_emit(shard, EV_UPSTREAM_OPENED, 0, replica, shard->index,
 			 up->pause);
--- a/packages/shard/shd-shard.c
+++ b/packages/shard/shd-shard.c
@@ -166,7 +166,7 @@
 static void set_closed(struct shd_replica *replica, bool closed)
 {
 	if (replica->up.closed && !closed)
-		up_set_cold(&replica->up);
+		up_set_idle(&replica->up);
 	replica->up.closed = closed;
 }
 
@@ -296,3 +296,15 @@
 	found = shard->replicas->pdata[replica];
 	return &found->up;
 }
+
+void shd_set_known_warm(struct shd_shard *shard, uint32_t replica,
+			uint64_t instance)
+{
+	struct shd_replica *found;
+
+	if (replica >= shard->replicas->len)
+		return;
+	found = shard->replicas->pdata[replica];
+	if (!found->up.known_warm)
+		found->up.known_warm = instance;
+}
--- a/packages/shard/shd.h
+++ b/packages/shard/shd.h
@@ -107,6 +107,9 @@
 			uint64_t fingerprint, uint32_t crashes);
 	void (*event)(void *ctx, struct shd_shard *shard, enum ev_code code,
 		      uint64_t query, int replica, int64_t a, int64_t b);
+	/* An upstream process has become warm here. */
+	void (*warm)(void *ctx, struct shd_shard *shard, uint32_t replica,
+		     uint64_t instance);
 	/* Returns a new call identity, unique to VM and incarnation. */
 	uint64_t (*next_call)(void *ctx);
 };
@@ -140,6 +143,9 @@
 uint32_t shd_index(const struct shd_shard *shard);
 uint32_t shd_queued(const struct shd_shard *shard);
 uint32_t shd_running(const struct shd_shard *shard); /* calls in flight */
+/* Tells which process of an upstream a former owner found to be warm. */
+void shd_set_known_warm(struct shd_shard *shard, uint32_t replica,
+			uint64_t instance);
 const struct up_upstream *shd_upstream(const struct shd_shard *shard,
 				       uint32_t replica);
 
--- a/packages/shard/tests/shard-test.c
+++ b/packages/shard/tests/shard-test.c
@@ -87,6 +87,15 @@
 	w->hedging = code == EV_SUB_HEDGED;
 }
 
+static void on_warm(void *ctx, struct shd_shard *shard, uint32_t replica,
+		    uint64_t instance)
+{
+	(void)ctx;
+	(void)shard;
+	(void)replica;
+	(void)instance;
+}
+
 static uint64_t on_next_call(void *ctx)
 {
 	struct world *w = ctx;
@@ -100,6 +109,7 @@
 	.done = on_done,
 	.crashed = on_crashed,
 	.event = on_event,
+	.warm = on_warm,
 	.next_call = on_next_call,
 };
 
--- a/packages/upstream/tests/upstream-test.c
+++ b/packages/upstream/tests/upstream-test.c
@@ -42,6 +42,15 @@
 		    cold ? " became cold" : "", up->time_mean / GB_MSEC);
 }
 
+static void cmd_known(void *ctx, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct up_upstream *up = ctx;
+
+	(void)out;
+	up->known_warm = scr_int(args, GB_STR("instance"), 0);
+}
+
 /* Prints the score of a warm upstream. */
 static void cmd_score(void *ctx, const struct scr_args *args,
 		      struct gb_buf *out)
@@ -61,6 +70,7 @@
 static const struct scr_command commands[] = {
 	{ .name = { "init", 4 }, .run = cmd_init },
 	{ .name = { "done", 4 }, .run = cmd_done },
+	{ .name = { "known", 5 }, .run = cmd_known },
 	{ .name = { "score", 5 }, .run = cmd_score },
 };
 
--- a/packages/upstream/up.c
+++ b/packages/upstream/up.c
@@ -16,7 +16,7 @@
 static uint32_t full_limit(const struct up_upstream *up);
 static gb_time step_time(const struct up_upstream *up);
 static gb_time ramp_end(const struct up_upstream *up);
-static void ramp(struct up_upstream *up, gb_time now);
+static void ramp(struct up_upstream *up, gb_time now, uint64_t instance);
 static void shed(struct up_upstream *up, gb_time now);
 static void fail(struct up_upstream *up, gb_time now);
 static void add_time(struct up_upstream *up, double taken);
@@ -67,6 +67,12 @@
 	up->successes = 0;
 }
 
+void up_set_idle(struct up_upstream *up)
+{
+	up_set_cold(up);
+	up->known_warm = 0;
+}
+
 uint32_t up_limit(const struct up_upstream *up, gb_time now)
 {
 	uint32_t limit = up->step;
@@ -95,10 +101,14 @@
 }
 
 /* Notes a success: moves at most one step up the ramp. */
-static void ramp(struct up_upstream *up, gb_time now)
+static void ramp(struct up_upstream *up, gb_time now, uint64_t instance)
 {
 	if (up->state == UP_WARM)
 		return;
+	if (instance && instance == up->known_warm) {
+		up->state = UP_WARM;
+		return;
+	}
 	if (up->state == UP_COLD) {
 		up->state = UP_RAMPING;
 		up->ramp_start = now;
@@ -107,13 +117,15 @@
 		return;
 	}
 	up->successes++;
-	if (now < ramp_end(up))
-		return;
-	up->successes = 0;
+	/* The ramp ends at the slots; one success there adds the queue. */
 	if (up->step >= up->limits.slots) {
 		up->state = UP_WARM;
+		up->known_warm = up->instance;
 		return;
 	}
+	if (now < ramp_end(up))
+		return;
+	up->successes = 0;
 	up->step++;
 	/* After an idle time the next step still takes its own time. */
 	up->ramp_start = now - step_time(up) * (up->step - cold_slots(up));
@@ -126,6 +138,7 @@
 
 	if (up->state == UP_COLD)
 		return;
+	up->known_warm = 0;
 	up->state = UP_RAMPING;
 	up->step = MAX(limit - 1, cold_slots(up));
 	up->successes = 0;
@@ -169,7 +182,7 @@
 		up->open_until = 0;
 		up->pause = 0;
 		add_time(up, taken);
-		ramp(up, now);
+		ramp(up, now, instance);
 		break;
 	case UP_REFUSED:
 		/* It answered, so the breaker need not stay open. */
--- a/packages/upstream/up.h
+++ b/packages/upstream/up.h
@@ -12,6 +12,10 @@
  *	over the ramp time, and only as far as successes confirm each step.
  *	When warm it may also hold the accepted queue beyond its slots.
  *
+ *	An upstream process that is known to have borne its full load, from
+ *	before or from its former owner, is warm again with its first success:
+ *	its unchanged instance identity proves that it did not restart.
+ *
  *	A circuit breaker opens after consecutive failures; after a growing
  *	pause it lets one trial pass.
  *
@@ -38,6 +42,7 @@
 	struct cfg_limits limits;
 	enum up_state state;
 	uint64_t instance; /* 0 until known */
+	uint64_t known_warm; /* instance that bore its full load; 0 if none */
 	uint32_t in_flight;
 	uint32_t successes; /* since the current step of the ramp */
 	gb_time ramp_start;
@@ -57,6 +62,9 @@
 /* Puts the upstream at its cold limit. */
 void up_set_cold(struct up_upstream *up);
 
+/* The same, and forgets which instance was warm. */
+void up_set_idle(struct up_upstream *up);
+
 /* Most requests in flight at this time. */
 uint32_t up_limit(const struct up_upstream *up, gb_time now);
 bool up_can_send(const struct up_upstream *up, gb_time now);
--- a/packages/wire/tests/wire-test.c
+++ b/packages/wire/tests/wire-test.c
@@ -28,6 +28,8 @@
 	{ .attempt = 66, .shard = 67, .status = MSG_STATUS_FAILED },
 };
 
+static struct msg_warm_item warm_items[] = { { 140, 141 }, { 142, 143 } };
+
 /* Every member has a value of its own, so that a swap of two shows. */
 static const struct msg samples[MSG_KINDS] = {
 	[MSG_HEARTBEAT].heartbeat = { 11,
@@ -47,6 +49,7 @@
 						  30 },
 	[MSG_QUERY_BATCH].batch = { .query = 41,
 				    .config_version = 42,
+				    .request = { "r-1", 3 },
 				    .service = { "bench-assist", 12 },
 				    .snapshot = 43,
 				    .fingerprint = 44,
@@ -71,6 +74,8 @@
 	[MSG_OUTCOME].outcome = { { "k4", 2 }, { 111, 112, 113 }, { "o", 1 } },
 	[MSG_CONFIG_FETCH].config_fetch = { .have_version = 120 },
 	[MSG_QUARANTINE].quarantine = { .fingerprint = 130, .crashes = 131 },
+	[MSG_WARM].warm = { .items = warm_items,
+			    .items_len = G_N_ELEMENTS(warm_items) },
 };
 
 static void *open_ctx(void);
--- a/packages/wire/wire-batch.c
+++ b/packages/wire/wire-batch.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#define SUB_SIZE 12	   /* attempt, shard */
+#define SUB_SIZE 12 /* attempt, shard */
 #define SUB_RESULT_SIZE 44 /* with an empty body */
 
 static bool_t xdr_sub(XDR *xdrs, struct msg_sub *sub);
@@ -22,6 +22,7 @@
 
 	if (!wire_xdr_u64(xdrs, &m->query) ||
 	    !wire_xdr_u64(xdrs, &m->config_version) ||
+	    !wire_xdr_str(xdrs, body, &m->request) ||
 	    !wire_xdr_str(xdrs, body, &m->service) ||
 	    !wire_xdr_u64(xdrs, &m->snapshot) ||
 	    !wire_xdr_u64(xdrs, &m->fingerprint) ||
--- a/packages/wire/wire-row.c
+++ b/packages/wire/wire-row.c
@@ -14,6 +14,7 @@
 	[MSG_CONFIG] = { .xdr = wire_xdr_config,
 			 .prepare = wire_prepare_config },
 	[MSG_QUARANTINE] = { .xdr = wire_xdr_quarantine },
+	[MSG_WARM] = { .xdr = wire_xdr_warm },
 };
 
 const struct wire_row *wire_row(uint32_t kind)
--- a/packages/wire/wire-row.h
+++ b/packages/wire/wire-row.h
@@ -17,8 +17,8 @@
 #include <rpc/rpc.h>
 
 struct wire_body {
-	struct msg *msg;      /* not changed while encoding */
-	size_t size;	      /* of the record, when decoding */
+	struct msg *msg; /* not changed while encoding */
+	size_t size; /* of the record, when decoding */
 	struct gb_buf config; /* JSON text of a configuration to encode */
 	struct gb_error *err; /* set by a decoder that knows more */
 };
@@ -46,6 +46,7 @@
 bool_t wire_xdr_config_fetch(XDR *xdrs, struct wire_body *body);
 bool_t wire_xdr_config(XDR *xdrs, struct wire_body *body);
 bool_t wire_xdr_quarantine(XDR *xdrs, struct wire_body *body);
+bool_t wire_xdr_warm(XDR *xdrs, struct wire_body *body);
 void wire_prepare_config(struct wire_body *body);
 
 /* Items. A decoded value outside its range is a failure. */
