--- a/packages/ctl/ctl-confirm.c
+++ b/packages/ctl/ctl-confirm.c
@@ -82,19 +82,18 @@
 static int read_back(const struct ctl_line *line,
 		     const struct ctl_change *change)
 {
-	gb_time end = g_get_monotonic_time() + line->timeout;
+	gb_time end = ctl_now() + line->timeout;
 	enum ctl_outcome outcome = CTL_OUTCOME_OPEN;
 
 	ctl_warn(GB_STR("outcome unknown; reading back"));
 	while (outcome == CTL_OUTCOME_OPEN) {
-		gb_time left = end - g_get_monotonic_time();
+		gb_time left = end - ctl_now();
 
 		if (left < GB_MSEC)
 			break;
 		outcome = ask_all(line, change, left);
 		if (outcome == CTL_OUTCOME_OPEN)
-			g_usleep(CLAMP(end - g_get_monotonic_time(), 0,
-				       READ_BACK_PAUSE));
+			ctl_pause(MIN(end - ctl_now(), READ_BACK_PAUSE));
 	}
 	if (outcome == CTL_OUTCOME_DONE) {
 		ctl_print(GB_STR("accepted\n"));
--- a/packages/ctl/ctl.h
+++ b/packages/ctl/ctl.h
@@ -88,8 +88,12 @@
  */
 int ctl_fault(const struct ctl_call *call, enum gb_code *code);
 
+/* Output and clock, in ctl-shell.c; tests replace them. */
 void ctl_print(struct gb_str text);
 void ctl_warn(struct gb_str text);
+gb_time ctl_now(void);
+void ctl_pause(gb_time time);
+
 int ctl_fail(struct gb_str subject, const struct gb_error *err);
 
 /* Appends "HOST:PORT". */
--- a/packages/ctl/tests/ctl-test.c
+++ b/packages/ctl/tests/ctl-test.c
@@ -6,8 +6,9 @@
 #include <unistd.h>
 
 /*
- * ctl-http.c and ctl-out.c are replaced: calls are answered from a list of
- * prepared answers, and output is kept for the expected file.
+ * ctl-http.c and ctl-shell.c are replaced: calls are answered from a list of
+ * prepared answers, output is kept for the expected file, and time passes only
+ * in pauses.
  */
 
 /* A prepared answer; the first one left that fits a call is used up. */
@@ -25,6 +26,7 @@
 static GArray *answers; /* of struct answer */
 static struct gb_buf *output;
 static char *file_path;
+static gb_time now;
 
 static void *open_ctx(void);
 static void close_ctx(void *ctx);
@@ -141,6 +143,16 @@
 	gb_buf_addc(output, '\n');
 }
 
+gb_time ctl_now(void)
+{
+	return now;
+}
+
+void ctl_pause(gb_time time)
+{
+	now += time;
+}
+
 static enum ctl_reach reach_of(struct gb_str name)
 {
 	if (gb_str_eq(name, GB_STR("lost")))
