Hedge from the 95th percentile on, and let a shed upstream wait for its step

Cause: with warm upstreams a hedge delay from the 97th percentile used 1.95% of the 3% budget at 80% of capacity. The ramp's end at the slots also let an upstream that had shed take its queue again at the next success. Change: the latency policy hedges from the 0.95 quantile (full budget) to the 0.99 quantile (empty); only the regular ramp shortens its last step.

--- a/packages/policy/pol.c
+++ b/packages/policy/pol.c
@@ -101,7 +101,7 @@
 
 static gb_time latency_hedge_delay(const struct pol_view *view)
 {
-	return quantile_delay(view, 0.97, 0.99);
+	return quantile_delay(view, 0.95, 0.99);
 }
 
 static bool latency_retry(const struct pol_view *view, enum pol_failure failure)
--- a/packages/upstream/up.c
+++ b/packages/upstream/up.c
@@ -117,18 +117,20 @@
 		return;
 	}
 	up->successes++;
-	/* The ramp ends at the slots; one success there adds the queue. */
+	if (now < ramp_end(up))
+		return;
+	up->successes = 0;
 	if (up->step >= up->limits.slots) {
 		up->state = UP_WARM;
 		up->known_warm = up->instance;
 		return;
 	}
-	if (now < ramp_end(up))
-		return;
-	up->successes = 0;
 	up->step++;
 	/* After an idle time the next step still takes its own time. */
 	up->ramp_start = now - step_time(up) * (up->step - cold_slots(up));
+	/* The ramp ends at the slots; one success there adds the queue. */
+	if (up->step >= up->limits.slots)
+		up->ramp_start -= step_time(up);
 }
 
 /* Lowers the limit by one; the ramp goes on from there. */
