--- a/packages/once/tests/explore-test.c
+++ b/packages/once/tests/explore-test.c
@@ -58,7 +58,7 @@
 	bool any_epoch;
 	bool unsettled;
 	bool count_only; /* counts granted votes only for "not run" */
-	bool forget;	 /* frees the votes of attempts that ran */
+	bool forget; /* frees the votes of attempts that ran */
 };
 
 static const struct fault faults[] = {
--- a/packages/quorum/tests/explore-test.c
+++ b/packages/quorum/tests/explore-test.c
@@ -54,10 +54,10 @@
 /* How a run goes; runs alternate between the rows. */
 struct mode {
 	gb_time heartbeat;
-	gb_time step;  /* longest */
+	gb_time step; /* longest */
 	gb_time delay; /* longest of an ordinary message */
 	gb_time late_delay;
-	uint32_t late;	  /* one message in so many is late */
+	uint32_t late; /* one message in so many is late */
 	uint32_t restart; /* one step in so many */
 	uint32_t stuck;
 	uint32_t change;
--- a/packages/shard/tests/shard-world.h
+++ b/packages/shard/tests/shard-world.h
@@ -22,7 +22,7 @@
 	bool hedging; /* the next send is a hedge */
 	bool quiet;
 	struct gb_buf *out;
-	GArray *sent;	 /* of uint64_t, calls of the quiet phase */
+	GArray *sent; /* of uint64_t, calls of the quiet phase */
 	struct sim *sim; /* of a random run */
 };
 
