--- a/packages/shard/tests/shard-test.c
+++ b/packages/shard/tests/shard-test.c
@@ -87,6 +87,15 @@
 	w->hedging = code == EV_SUB_HEDGED;
 }
 
+static void on_warm(void *ctx, struct shd_shard *shard, uint32_t replica,
+		    uint64_t instance)
+{
+	(void)ctx;
+	(void)shard;
+	(void)replica;
+	(void)instance;
+}
+
 static uint64_t on_next_call(void *ctx)
 {
 	struct world *w = ctx;
@@ -100,6 +109,7 @@
 	.done = on_done,
 	.crashed = on_crashed,
 	.event = on_event,
+	.warm = on_warm,
 	.next_call = on_next_call,
 };
 
@@ -249,7 +259,8 @@
 	w->out = out;
 	world_close(w, (int)scr_int(args, GB_STR("replica"), -1),
 		    (int)scr_int(args, GB_STR("dc"), -1),
-		    scr_int(args, GB_STR("closed"), 1));
+		    scr_int(args, GB_STR("closed"), 1),
+		    scr_int(args, GB_STR("removed"), 0));
 }
 
 /* Warms all upstreams by rounds of successes that take 10 ms each. */
