--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -171,6 +171,9 @@
 		   struct gb_str type, struct gb_str body);
 void gd_http_error(struct gd *gd, h2o_req_t *req, const struct gb_error *err);
 
+/* Notes that the answer of a request begins to be written. */
+void gd_http_answered(const h2o_req_t *req);
+
 /* Registers a request whose answer comes later, maybe before return. */
 struct gd_waiting *gd_http_wait(struct gd *gd, h2o_req_t *req,
 				void (*gone)(struct gd *gd, uint64_t handle));
