--- a/packages/daemon/gd-caller.c
+++ b/packages/daemon/gd-caller.c
@@ -23,6 +23,7 @@
 static int take_deadline(struct parse *parse, struct gb_str value);
 static int take_coverage(struct parse *parse, struct gb_str value);
 static int take_key(struct parse *parse, struct gb_str value);
+static int take_header(struct parse *parse, const struct header_row *row);
 static int take_path(struct parse *parse, struct gb_str rest);
 static int take_body(struct parse *parse);
 static bool is_printable(struct gb_str s);
@@ -120,6 +121,16 @@
 	return 0;
 }
 
+/* A header that occurs twice is refused, as it may say two things. */
+static int take_header(struct parse *parse, const struct header_row *row)
+{
+	struct gb_str value;
+
+	if (gd_http_header(parse->req, row->name, &value) > 1)
+		return gb_fail(&parse->err, GB_ERR_BAD_REQUEST, row->name, 0);
+	return row->take(parse, value);
+}
+
 void gd_caller_request(struct gd *gd, h2o_req_t *req, struct gb_str rest)
 {
 	struct parse parse = { .gd = gd, .req = req };
@@ -132,7 +143,7 @@
 
 		if (row->orders && !parse.order)
 			continue;
-		if (row->take(&parse, gd_http_header(req, row->name)))
+		if (take_header(&parse, row))
 			goto bad;
 	}
 	if (take_body(&parse))
--- a/packages/daemon/gd-reply.c
+++ b/packages/daemon/gd-reply.c
@@ -41,17 +41,23 @@
 	return code < GB_ERR_CODES && statuses[code] ? statuses[code] : 500;
 }
 
-struct gb_str gd_http_header(const h2o_req_t *req, struct gb_str name)
+int gd_http_header(const h2o_req_t *req, struct gb_str name,
+		   struct gb_str *value)
 {
+	int found = 0;
+
+	*value = GB_STR("");
 	for (size_t i = 0; i < req->headers.size; i++) {
 		const h2o_header_t *header = &req->headers.entries[i];
 
-		if (h2o_lcstris(header->name->base, header->name->len, name.ptr,
-				name.len))
-			return (struct gb_str){ .ptr = header->value.base,
-						.len = header->value.len };
+		if (!h2o_lcstris(header->name->base, header->name->len,
+				 name.ptr, name.len))
+			continue;
+		*value = (struct gb_str){ .ptr = header->value.base,
+					  .len = header->value.len };
+		found++;
 	}
-	return GB_STR("");
+	return found;
 }
 
 static int hex_digit(char c)
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -160,7 +160,9 @@
 /* Closes the connections without a request; true if none is left. */
 bool gd_http_drain(struct gd *gd);
 
-struct gb_str gd_http_header(const h2o_req_t *req, struct gb_str name);
+/* Returns how often the header occurs; value is empty if it does not. */
+int gd_http_header(const h2o_req_t *req, struct gb_str name,
+		   struct gb_str *value);
 
 /* Decoded value of a query parameter; empty if missing; owned by req. */
 struct gb_str gd_http_param(h2o_req_t *req, struct gb_str name);
--- a/tests/standin/common-http.c
+++ b/tests/standin/common-http.c
@@ -277,9 +277,18 @@
 
 void si_reply(h2o_req_t *req, int status, struct gb_str body)
 {
+	si_reply_promised(req, status, body, body.len);
+}
+
+void si_reply_promised(h2o_req_t *req, int status, struct gb_str body,
+		       size_t promised)
+{
+	/* The missing bytes are cut off by the end of the connection. */
+	if (promised > body.len)
+		req->http1_is_persistent = 0;
 	req->res.status = status;
 	req->res.reason = status < 400 ? "OK" : "Error";
-	req->res.content_length = body.len;
+	req->res.content_length = promised;
 	si_add_header(req, GB_STR("content-type"), "application/json");
 	h2o_send_inline(req, body.len ? body.ptr : "", body.len);
 }
--- a/tests/standin/common-http.h
+++ b/tests/standin/common-http.h
@@ -77,6 +77,10 @@
 	__attribute__((format(printf, 3, 4)));
 void si_reply(h2o_req_t *req, int status, struct gb_str body);
 
+/* As si_reply(), with a content length that may be more than is sent. */
+void si_reply_promised(h2o_req_t *req, int status, struct gb_str body,
+		       size_t promised);
+
 /* Sends a JSON value and drops the reference to it. */
 void si_reply_json(h2o_req_t *req, int status, json_t *value);
 
--- a/tests/standin/upstream-job.c
+++ b/tests/standin/upstream-job.c
@@ -10,7 +10,12 @@
 static void begin_next(struct ups_replica *replica);
 static bool has_snapshot(const struct ups_replica *replica, int64_t id);
 static uint64_t parse_hex(struct gb_str text);
-static void add_answer_headers(struct ups_replica *replica, h2o_req_t *req);
+static void add_answer_headers(struct ups_replica *replica, h2o_req_t *req,
+			       enum ups_spoil spoil);
+static void send_failure(struct ups_replica *replica, h2o_req_t *req,
+			 int status, json_t *body);
+static void send_answer(struct ups_replica *replica, h2o_req_t *req,
+			json_t *value);
 static void shed(struct ups_replica *replica, h2o_req_t *req);
 static bool overloaded(const struct ups_replica *replica);
 
@@ -43,9 +48,12 @@
 }
 
 /* Adds what every answer names, also a refusal. */
-static void add_answer_headers(struct ups_replica *replica, h2o_req_t *req)
+static void add_answer_headers(struct ups_replica *replica, h2o_req_t *req,
+			       enum ups_spoil spoil)
 {
-	struct gb_str attempt = si_header(req, GB_STR("attempt-id"));
+	struct gb_str attempt = spoil == UPS_SPOIL_ATTEMPT
+					? GB_STR("00000000000000aa")
+					: si_header(req, GB_STR("attempt-id"));
 	struct gb_str snapshot = si_header(req, GB_STR("snapshot"));
 
 	si_add_header(req, GB_STR("attempt-id"), "%.*s", (int)attempt.len,
@@ -54,14 +62,15 @@
 		      replica->instance);
 	si_add_header(req, GB_STR("snapshot"), "%.*s", (int)snapshot.len,
 		      snapshot.ptr);
-	si_add_header(req, GB_STR("shard"), "%u", replica->shard);
+	si_add_header(req, GB_STR("shard"), "%u",
+		      replica->shard + (spoil == UPS_SPOIL_SHARD));
 	si_add_header(req, GB_STR("load"), "%u", ups_in_flight(replica));
 }
 
 static void shed(struct ups_replica *replica, h2o_req_t *req)
 {
 	replica->stats.shed++;
-	add_answer_headers(replica, req);
+	add_answer_headers(replica, req, UPS_SPOIL_NONE);
 	si_add_header(req, GB_STR("not-run"), "1");
 	si_reply(req, 503, GB_STR("{\"error\":\"shed\"}"));
 }
@@ -165,17 +174,46 @@
 		job_begin(g_queue_pop_head(&replica->queue));
 }
 
+static void send_failure(struct ups_replica *replica, h2o_req_t *req,
+			 int status, json_t *body)
+{
+	add_answer_headers(replica, req, UPS_SPOIL_NONE);
+	si_reply_json(req, status, body);
+}
+
+/* Sends the answer of a run, spoilt as the test asked. */
+static void send_answer(struct ups_replica *replica, h2o_req_t *req,
+			json_t *value)
+{
+	enum ups_spoil spoil = replica->spoil;
+	char *text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+	struct gb_str body = gb_str_from_c(text);
+	size_t promised = body.len;
+
+	replica->spoil = UPS_SPOIL_NONE;
+	add_answer_headers(replica, req, spoil);
+	si_add_header(req, GB_STR("documents"), "%u", replica->records->len);
+	if (spoil == UPS_SPOIL_JSON || spoil == UPS_SPOIL_CUT)
+		body.len--;
+	if (spoil == UPS_SPOIL_JSON)
+		promised--;
+	if (spoil == UPS_SPOIL_LOST)
+		si_cut(req);
+	si_reply_promised(req, 200, body, promised);
+	free(text);
+	json_decref(value);
+}
+
 static void job_end(struct ups_job *job, int status, json_t *body)
 {
 	struct ups_replica *replica = job->replica;
 	h2o_req_t *req = job->req;
 
 	job_free(job);
-	add_answer_headers(replica, req);
 	if (status == 200)
-		si_add_header(req, GB_STR("documents"), "%u",
-			      replica->records->len);
-	si_reply_json(req, status, body);
+		send_answer(replica, req, body);
+	else
+		send_failure(replica, req, status, body);
 	begin_next(replica);
 }
 
@@ -219,8 +257,8 @@
 		      &snapshot);
 	if (!order && !has_snapshot(replica, snapshot)) {
 		stats->gone++;
-		add_answer_headers(replica, req);
-		si_reply(req, 410, GB_STR("{\"error\":\"snapshot\"}"));
+		send_failure(replica, req, 410,
+			     json_pack("{s:s}", "error", "snapshot"));
 		return;
 	}
 	if (overloaded(replica)) {
--- a/tests/standin/upstream-replica.c
+++ b/tests/standin/upstream-replica.c
@@ -8,6 +8,7 @@
 static void wake(struct ups_replica *replica);
 static void on_come_back(uv_timer_t *timer);
 static void set_snapshots(struct ups_replica *replica, json_t *list);
+static void set_spoil(struct ups_replica *replica, const char *name);
 static bool crashes(struct ups_replica *replica, h2o_req_t *req, bool order);
 static void route_shard(struct si_port *port, h2o_req_t *req,
 			struct gb_str rest);
@@ -18,6 +19,13 @@
 static void route_control(struct si_port *port, h2o_req_t *req,
 			  struct gb_str rest);
 
+/* Names of the spoils in control requests. */
+static const char *const spoils[UPS_SPOILS] = {
+	[UPS_SPOIL_NONE] = "none",   [UPS_SPOIL_ATTEMPT] = "attempt",
+	[UPS_SPOIL_SHARD] = "shard", [UPS_SPOIL_JSON] = "json",
+	[UPS_SPOIL_CUT] = "cut",     [UPS_SPOIL_LOST] = "lost",
+};
+
 const struct si_route ups_routes[] = {
 	{ GB_STR("POST"), GB_STR("/shard/"), route_shard },
 	{ GB_STR("DELETE"), GB_STR("/attempt/"), route_cancel },
@@ -151,6 +159,13 @@
 	}
 }
 
+static void set_spoil(struct ups_replica *replica, const char *name)
+{
+	for (int i = 0; i < UPS_SPOILS; i++)
+		if (!g_strcmp0(spoils[i], name))
+			replica->spoil = i;
+}
+
 static void route_control(struct si_port *port, h2o_req_t *req,
 			  struct gb_str rest __attribute__((unused)))
 {
@@ -171,6 +186,8 @@
 		g_free(replica->crash_on);
 		replica->crash_on = g_strdup(json_string_value(value));
 	}
+	if ((value = json_object_get(body, "spoil")))
+		set_spoil(replica, json_string_value(value));
 	si_reply(req, 200, GB_STR("{}"));
 	if (json_is_true(json_object_get(body, "die"))) {
 		value = json_object_get(body, "for_ms");
--- a/tests/standin/upstream.h
+++ b/tests/standin/upstream.h
@@ -49,6 +49,17 @@
 	uint32_t cold_most;
 };
 
+/* How the next answer to a run is spoilt. */
+enum ups_spoil {
+	UPS_SPOIL_NONE,
+	UPS_SPOIL_ATTEMPT, /* names another attempt */
+	UPS_SPOIL_SHARD, /* names another shard */
+	UPS_SPOIL_JSON, /* its body is no JSON */
+	UPS_SPOIL_CUT, /* its body ends early */
+	UPS_SPOIL_LOST, /* the connection is closed instead */
+	UPS_SPOILS
+};
+
 struct ups_replica {
 	const struct ups_options *options;
 	struct gb_str name;
@@ -62,6 +73,7 @@
 	gb_time frozen_until;
 	uint32_t slow_permille;
 	char *crash_on;
+	enum ups_spoil spoil;
 	struct gb_rng rng;
 	uint32_t running;
 	GQueue queue; /* of struct ups_job */
