--- a/tests/scenario/scn-caller.c
+++ b/tests/scenario/scn-caller.c
@@ -81,6 +81,7 @@
 	if (request->answered)
 		return;
 	request->answered = true;
+	request->lost = true;
 	load = load_of(world, request);
 	if (load)
 		load->tally.lost++;
--- a/tests/scenario/scn-check.c
+++ b/tests/scenario/scn-check.c
@@ -4,8 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Most violations that are printed in full. */
-#define PRINTED_MAX 10
+/* Most violations of one check that are printed. */
+#define PRINTED_MAX 3
 
 /* A data centre taken out gets no new work after this time. */
 #define OUT_TIME (3 * GB_SEC)
@@ -24,6 +24,7 @@
 };
 
 struct scn_checks {
+	GHashTable *printed; /* name of a check to count */
 	GHashTable *keys; /* text to struct key_state */
 	GHashTable *crashes; /* body to count */
 	GHashTable *closed; /* name to the time of an upstream's closing */
@@ -44,7 +45,9 @@
 static void check_identity(struct scn_world *world,
 			   const struct scn_fact *fact);
 static void check_once(struct scn_world *world, const struct scn_fact *fact);
-static void check_shutdown(struct scn_world *world);
+static void check_shutdown(struct scn_world *world,
+			   const struct scn_fact *fact);
+static void check_confirm(struct scn_world *world, const struct scn_fact *fact);
 static void check_version(struct scn_world *world, const struct scn_fact *fact);
 static void check_in_force(struct scn_world *world,
 			   const struct scn_fact *fact);
@@ -64,7 +67,8 @@
 	{ .name = GB_STR_INIT("P5 answered once"),
 	  .fact = check_answered_twice },
 	{ .name = GB_STR_INIT("P6 P7 at most once"), .fact = check_once },
-	{ .name = GB_STR_INIT("P9 shutdown"), .end = check_shutdown },
+	{ .name = GB_STR_INIT("P9 shutdown"), .fact = check_shutdown },
+	{ .name = GB_STR_INIT("P10 confirmed"), .fact = check_confirm },
 	{ .name = GB_STR_INIT("P10 never reverts"), .fact = check_version },
 	{ .name = GB_STR_INIT("P10 in force"), .fact = check_in_force },
 	{ .name = GB_STR_INIT("limits of upstreams"), .fact = check_limits },
@@ -75,6 +79,7 @@
 {
 	struct scn_checks *state = g_new0(struct scn_checks, 1);
 
+	state->printed = g_hash_table_new(g_str_hash, g_str_equal);
 	state->keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	state->crashes =
@@ -86,6 +91,7 @@
 
 void scn_checks_free(struct scn_checks *state)
 {
+	g_hash_table_destroy(state->printed);
 	g_hash_table_destroy(state->keys);
 	g_hash_table_destroy(state->crashes);
 	g_hash_table_destroy(state->closed);
@@ -95,13 +101,19 @@
 void scn_violation(struct scn_world *world, struct gb_str check,
 		   const char *fmt, ...)
 {
+	GHashTable *printed = world->checks->printed;
+	/* Names of checks are literals. */
+	gpointer name = (gpointer)check.ptr;
+	guint count = GPOINTER_TO_UINT(g_hash_table_lookup(printed, name)) + 1;
 	char text[400];
 	va_list ap;
 
 	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
-	if (++world->violations <= PRINTED_MAX)
+	world->violations++;
+	g_hash_table_insert(printed, name, GUINT_TO_POINTER(count));
+	if (count <= PRINTED_MAX)
 		scn_line(world, "VIOLATION %.*s: %s", (int)check.len, check.ptr,
 			 text);
 }
@@ -263,7 +275,8 @@
 }
 
 /*
- * Each part must be the answer to this request's body, each shard once. The
+ * Each part must be the answer of the named snapshot to this request's body,
+ * each shard once. The
  * answer to an order must be that of the shard where its key ran: a replay
  * does not name the shard.
  */
@@ -280,11 +293,12 @@
 				? key_state(world, fact->request->key)->shard
 				: answer->shards[i];
 		gb_buf_reset(&want);
-		gb_buf_addf(&want, "%u:", shard);
+		gb_buf_addf(&want, "%u@%" PRIu64 ":", shard,
+			    fact->request->order ? 0 : answer->snapshot);
 		gb_buf_add(&want, fact->request->body);
 		if (!gb_str_eq(gb_buf_str(&want), answer->bodies[i]) ||
 		    (i && answer->shards[i] <= answer->shards[i - 1]))
-			scn_violation(world, GB_STR("P5"),
+			scn_violation(world, GB_STR("P1 P5"),
 				      "answer %" PRIu64 " has part \"%.*s\"",
 				      fact->request->caller,
 				      (int)answer->bodies[i].len,
@@ -354,22 +368,41 @@
 }
 
 /* A VM that stopped gracefully has answered all that it took. */
-static void check_shutdown(struct scn_world *world)
+static void check_shutdown(struct scn_world *world, const struct scn_fact *fact)
 {
+	if (fact->kind != SCN_VM_STOPPED)
+		return;
 	for (guint i = 0; i < world->requests->len; i++) {
 		const struct scn_request *request =
 			g_ptr_array_index(world->requests, i);
-		const struct scn_vm *vm = &world->vm[request->vm];
-
-		if (!request->answered && vm->stopping &&
-		    vm->run == request->vm_run + 1)
-			scn_violation(world, GB_STR("P9"),
-				      "request %" PRIu64
-				      " was cut by the stop of vm %u",
-				      request->caller, vm->id);
+
+		if ((request->answered && !request->lost) ||
+		    request->vm != fact->vm->index ||
+		    request->vm_run != fact->vm->run)
+			continue;
+		scn_violation(world, GB_STR("P9"),
+			      "request %" PRIu64
+			      " was cut by the stop of vm %u",
+			      request->caller, fact->vm->id);
 	}
 }
 
+/* What an operator is told about a confirmation must be true. */
+static void check_confirm(struct scn_world *world, const struct scn_fact *fact)
+{
+	bool done;
+
+	if (fact->kind != SCN_CONFIRMED)
+		return;
+	done = cfg_has_change(world->platform.object, fact->plan);
+	if ((fact->code == GB_OK && !done) ||
+	    (fact->code == GB_ERR_CONFLICT && done))
+		scn_violation(world, GB_STR("P10"),
+			      "vm %u says %.*s of a plan that is%s in force",
+			      fact->vm->id, (int)gb_code_name(fact->code).len,
+			      gb_code_name(fact->code).ptr, done ? "" : " not");
+}
+
 /* Within one process the version of the configuration never goes back. */
 static void check_version(struct scn_world *world, const struct scn_fact *fact)
 {
--- a/tests/scenario/scn-command.c
+++ b/tests/scenario/scn-command.c
@@ -36,6 +36,7 @@
 static void cmd_publish(struct scn_world *world, const struct scr_args *args);
 static void cmd_show(struct scn_world *world, const struct scr_args *args);
 static void cmd_events(struct scn_world *world, const struct scr_args *args);
+static void cmd_mutate(struct scn_world *world, const struct scr_args *args);
 static uint32_t vm_arg(struct scn_world *world, const struct scr_args *args);
 static void add_replicas(struct scn_world *world, struct cfg_service *service,
 			 uint32_t index, uint32_t shards, uint32_t replicas);
@@ -84,7 +85,8 @@
 	{ GB_STR_INIT("platform"), cmd_platform,
 	  GB_STR_INIT("down|up|slow_ms=N|lose=N") },
 	{ GB_STR_INIT("upstream"), cmd_upstream,
-	  GB_STR_INIT("NAME restart|die|freeze_ms=N|slow=N|snapshots_from=N") },
+	  GB_STR_INIT(
+		  "NAME restart|die|freeze_ms=N|slow=N|snapshots_from=N|report=N") },
 	{ GB_STR_INIT("plan"), cmd_plan,
 	  GB_STR_INIT("KIND TARGET vm=N [field=F value=N]") },
 	{ GB_STR_INIT("confirm"), cmd_confirm, GB_STR_INIT("vm=N") },
@@ -92,6 +94,7 @@
 	  GB_STR_INIT("SERVICE id=N [docs=N]") },
 	{ GB_STR_INIT("show"), cmd_show,
 	  GB_STR_INIT("vms|loads|upstreams|config") },
+	{ GB_STR_INIT("mutate"), cmd_mutate, GB_STR_INIT("NAME") },
 	{ GB_STR_INIT("events"), cmd_events, GB_STR_INIT("on|off") },
 };
 
@@ -421,6 +424,8 @@
 		upstream->frozen_until = world->now + freeze * GB_MSEC;
 	upstream->slow_factor =
 		scr_int(args, GB_STR("slow"), upstream->slow_factor);
+	upstream->reported =
+		scr_int(args, GB_STR("report"), upstream->reported);
 	upstream->snapshot_min =
 		scr_int(args, GB_STR("snapshots_from"), upstream->snapshot_min);
 }
@@ -458,20 +463,20 @@
 	if (!vm->node)
 		return;
 	world->admin_pending++;
-	nd_plan(vm->node, scn_vm_clock(vm), 1, intent);
+	nd_plan(vm->node, scn_vm_clock(vm), SCN_PLANNER, intent);
 	scn_vm_reschedule(vm);
 }
 
 static void cmd_confirm(struct scn_world *world, const struct scr_args *args)
 {
 	struct scn_vm *vm = &world->vm[vm_arg(world, args)];
+	uint64_t plan = world->plan_id + scr_int(args, GB_STR("other"), 0);
 
 	if (!vm->node)
 		return;
 	world->admin_pending++;
-	nd_confirm(vm->node, scn_vm_clock(vm), 2,
-		   world->plan_id + scr_int(args, GB_STR("other"), 0),
-		   world->plan_version, &world->intent);
+	nd_confirm(vm->node, scn_vm_clock(vm), plan, plan, world->plan_version,
+		   &world->intent);
 	scn_vm_reschedule(vm);
 }
 
@@ -567,6 +572,16 @@
 		show_config(world);
 }
 
+/* Plants a fault that a check must report. */
+static void cmd_mutate(struct scn_world *world, const struct scr_args *args)
+{
+	world->mutation = scn_mutation_find(scr_word(args, 0));
+	if (!world->mutation)
+		g_error("unknown mutation");
+	if (world->mutation->plant)
+		world->mutation->plant(world);
+}
+
 static void cmd_events(struct scn_world *world, const struct scr_args *args)
 {
 	world->trace_events = gb_str_eq(scr_word(args, 0), GB_STR("on"));
--- a/tests/scenario/scn-main.c
+++ b/tests/scenario/scn-main.c
@@ -7,15 +7,21 @@
 /*
  * Usage: scenario [--seed N] FILE.scenario
  *        scenario --cases FOLDER
+ *        scenario --mutants FOLDER
  *
  * The first form prints the trace. The second runs each scenario of the folder
  * as one GLib test that compares the trace with FILE.expected; with
- * SCR_UPDATE=1 in the environment the expected files are written anew. Exit
- * status: 0 as expected, 1 a difference or a violation, 2 usage.
+ * SCR_UPDATE=1 in the environment the expected files are written anew. The
+ * third does the same for scenarios with a planted fault, each of which must
+ * end with a violation. Exit status: 0 as expected, 1 a difference or a
+ * violation, 2 usage.
  */
 
 #define SEED 1
 
+/* The run must end with a violation. */
+static bool mutants;
+
 static void compare(const char *file, struct gb_str got, struct gb_str want);
 static struct scn_world *run_file(const char *file, uint64_t seed, int *status);
 static void test_case(gconstpointer data);
@@ -78,7 +84,7 @@
 			(struct gb_str){ .ptr = want, .len = len });
 	else
 		compare(file, gb_buf_str(&world->trace), GB_STR(""));
-	g_assert_cmpint(status, ==, 0);
+	g_assert_cmpint(status, ==, mutants ? -1 : 0);
 	scn_free(world);
 	g_free(want);
 	g_free(path);
@@ -127,7 +133,8 @@
 	uint64_t seed = SEED;
 	int status = 0;
 
-	if (argc == 3 && !strcmp(argv[1], "--cases"))
+	mutants = argc == 3 && !strcmp(argv[1], "--mutants");
+	if (mutants || (argc == 3 && !strcmp(argv[1], "--cases")))
 		return run_cases(1, argv, argv[2]);
 	if (argc == 4 && !strcmp(argv[1], "--seed"))
 		seed = g_ascii_strtoull(argv[2], NULL, 10);
@@ -141,7 +148,8 @@
 	return status ? 1 : 0;
 usage:
 	fputs("usage: scenario [--seed N] FILE.scenario\n"
-	      "       scenario --cases FOLDER\n",
+	      "       scenario --cases FOLDER\n"
+	      "       scenario --mutants FOLDER\n",
 	      stderr);
 	return 2;
 }
--- a/tests/scenario/scn-net.c
+++ b/tests/scenario/scn-net.c
@@ -51,10 +51,16 @@
 		 gb_time delay)
 {
 	struct packet *packet = g_new(struct packet, 1);
+	const struct scn_mutation *mutation = from->world->mutation;
 
 	*packet = (struct packet){ .to = to,
 				   .to_run = to->run,
 				   .msg = msg_copy(msg) };
+	if (mutation && mutation->message &&
+	    !mutation->message(from, to, packet->msg)) {
+		drop_packet(packet);
+		return;
+	}
 	scn_after(from->world, delay, deliver, packet);
 }
 
--- a/tests/scenario/scn-platform.c
+++ b/tests/scenario/scn-platform.c
@@ -69,6 +69,9 @@
 		.version = call->version,
 	};
 
+	if (vm->world->mutation && vm->world->mutation->store &&
+	    vm->world->mutation->store(vm))
+		result.cfg = NULL;
 	nd_store_done(vm->node, scn_vm_clock(vm), &result);
 }
 
--- a/tests/scenario/scn-upstream.c
+++ b/tests/scenario/scn-upstream.c
@@ -71,6 +71,7 @@
 	upstream->waiting = g_queue_new();
 	upstream->calls = g_ptr_array_new();
 	upstream->slow_factor = 1;
+	upstream->reported = -1;
 	g_ptr_array_add(world->upstreams, upstream);
 	g_hash_table_insert(world->upstream_by_name, gb_str_to_c(name),
 			    upstream);
@@ -213,15 +214,20 @@
 				    : call->upstream->instance,
 		.snapshot = call->snapshot,
 		.shard = call->shard,
-		.load = scn_upstream_load(call->upstream),
+		.load = call->upstream->reported < 0
+				? scn_upstream_load(call->upstream)
+				: (uint32_t)call->upstream->reported,
 	};
 	if (status == ND_UPSTREAM_OK) {
 		outcome->result.docs = docs_of(world, call);
-		gb_buf_addf(&body, "%u:", call->shard);
+		gb_buf_addf(&body, "%u@%" PRIu64 ":", call->shard,
+			    call->snapshot);
 		gb_buf_add(&body, call->body);
-		outcome->body = gb_str_dup(gb_buf_str(&body));
-		gb_buf_free(&body);
 	}
+	if (world->mutation && world->mutation->result)
+		world->mutation->result(call, &outcome->result, &body);
+	outcome->body = gb_str_dup(gb_buf_str(&body));
+	gb_buf_free(&body);
 	scn_after(world, delay, arrive_back, outcome);
 }
 
@@ -254,11 +260,15 @@
 		upstream->busy[call->vm]++;
 		return true;
 	}
+	if (upstream->connections[call->vm] >= most)
+		return false;
 	for (uint32_t i = 0; i < world->vms; i++)
 		total += upstream->connections[i];
-	if (total >= service->limits.connections ||
-	    upstream->connections[call->vm] >= most)
+	/* What is refused here counts as well: the VMs must keep the limit. */
+	if (total >= service->limits.connections) {
+		upstream->peak_connections = total + 1;
 		return false;
+	}
 	upstream->connections[call->vm]++;
 	upstream->busy[call->vm]++;
 	upstream->peak_connections = MAX(upstream->peak_connections, total + 1);
@@ -367,8 +377,7 @@
 	if (*text && strstr(body, text))
 		scn_after(world, CRASH_AFTER, crash, call_ref(call));
 	else
-		scn_after(world,
-			  (gb_time)gb_rng_exponential(&world->rng, mean),
+		scn_after(world, (gb_time)gb_rng_exponential(&world->rng, mean),
 			  finish, call_ref(call));
 	g_free(body);
 	g_free(text);
--- a/tests/scenario/scn-vm.c
+++ b/tests/scenario/scn-vm.c
@@ -61,7 +61,13 @@
 
 static void answer(void *ctx, const struct nd_answer *out)
 {
-	scn_answer(ctx, out);
+	struct scn_vm *vm = ctx;
+	const struct scn_mutation *mutation = vm->world->mutation;
+	int times =
+		mutation && mutation->answer ? mutation->answer(vm, out) : 1;
+
+	while (times--)
+		scn_answer(vm, out);
 }
 
 static void admin_answer(void *ctx, const struct nd_admin_result *result)
@@ -69,9 +75,21 @@
 	struct scn_vm *vm = ctx;
 	struct scn_world *world = vm->world;
 	struct gb_str code = gb_code_name(result->code);
+	struct scn_fact fact = { .kind = SCN_CONFIRMED,
+				 .at = world->now,
+				 .vm = vm };
 
 	world->admin_pending--;
+	if (!result->plan && result->caller == SCN_PLANNER) {
+		scn_line(world, "plan vm=%u %.*s", vm->id, (int)code.len,
+			 code.ptr);
+		return;
+	}
 	if (!result->plan) {
+		fact.plan = result->caller;
+		fact.code = result->code;
+		fact.version = result->version;
+		scn_fact(world, &fact);
 		scn_line(world, "confirm vm=%u %.*s version=%" PRIu64, vm->id,
 			 (int)code.len, code.ptr, result->version);
 		return;
@@ -172,6 +190,9 @@
 	struct tick *tick = data;
 	struct scn_vm *vm = &world->vm[tick->index];
 	bool due = vm->node && vm->run == tick->run && vm->tick_at == tick->at;
+	struct scn_fact fact = { .kind = SCN_VM_STOPPED,
+				 .at = world->now,
+				 .vm = vm };
 
 	g_free(tick);
 	if (!due || vm->frozen)
@@ -180,6 +201,7 @@
 	nd_tick(vm->node, scn_vm_clock(vm));
 	if (vm->stopping && nd_stopped(vm->node)) {
 		scn_line(world, "vm %u stopped", vm->id);
+		scn_fact(world, &fact);
 		scn_vm_kill(world, vm->index);
 		return;
 	}
@@ -211,6 +233,8 @@
 		if (i != index)
 			settings.seed_vm[settings.seeds_len++] =
 				world->vm[i].id;
+	if (world->mutation && world->mutation->settings)
+		world->mutation->settings(vm, &settings);
 	memset(&vm->metrics, 0, sizeof(vm->metrics));
 	vm->node = nd_new(&settings, &ops, vm, &vm->metrics, scn_vm_clock(vm));
 	scn_fact(world, &fact);
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -26,6 +26,9 @@
 
 #define SCN_VMS_MAX CFG_VMS_MAX
 
+/* Caller of plans; a confirmation has its plan as caller. */
+#define SCN_PLANNER 1
+
 struct scn_world;
 
 /* QUEUE OF EVENTS */
@@ -83,6 +86,7 @@
 	GQueue *waiting; /* of struct scn_call */
 	GPtrArray *calls; /* running and waiting */
 	uint32_t slow_factor;
+	int64_t reported; /* load that it claims; negative for the truth */
 	uint32_t connections[SCN_VMS_MAX];
 	gb_time warm_until; /* new connections are open until used */
 	uint32_t busy[SCN_VMS_MAX]; /* connections in use, by VM */
@@ -144,6 +148,8 @@
 	SCN_CONFIG_ACCEPTED,
 	SCN_CONFIG_SEEN, /* a VM's version changed */
 	SCN_VM_CHANGED,
+	SCN_VM_STOPPED, /* a graceful stop ended */
+	SCN_CONFIRMED, /* an operator got the result of a confirmation */
 	SCN_FACTS
 };
 
@@ -157,6 +163,8 @@
 	const struct scn_request *request;
 	const struct cfg *cfg;
 	uint64_t version;
+	uint64_t plan;
+	enum gb_code code;
 };
 
 struct scn_check {
@@ -166,6 +174,27 @@
 	void (*end)(struct scn_world *world);
 };
 
+/* MUTATIONS */
+
+/*
+ * A fault planted in the fakes, in the settings given to a node or in messages
+ * on their way, to show that a check reports it. Functions may be NULL.
+ */
+struct scn_mutation {
+	struct gb_str name;
+	void (*settings)(struct scn_vm *vm, struct nd_settings *settings);
+	/* Returns false to lose the message. */
+	bool (*message)(struct scn_vm *from, struct scn_vm *to,
+			struct msg *msg);
+	void (*result)(struct scn_call *call, struct nd_upstream_result *result,
+		       struct gb_buf *body);
+	/* Returns how often the shell passes the answer on. */
+	int (*answer)(struct scn_vm *vm, const struct nd_answer *answer);
+	/* Returns true to lose the configuration that the VM asked for. */
+	bool (*store)(struct scn_vm *vm);
+	void (*plant)(struct scn_world *world); /* by the command itself */
+};
+
 /* CALLERS */
 struct scn_request {
 	uint64_t caller;
@@ -181,6 +210,7 @@
 	bool stopping; /* the VM was stopping when it took the request */
 	bool answered;
 	bool quiet; /* part of a load: no line in the trace */
+	bool lost; /* the caller gave up without an answer */
 };
 
 /* What a load saw. */
@@ -256,6 +286,7 @@
 	uint64_t instance_next;
 	/* Answers of administrative requests, by caller. */
 	uint32_t admin_pending;
+	const struct scn_mutation *mutation; /* NULL for none */
 	/* A load generator for baselines; NULL runs the product. */
 	void (*take_request)(struct scn_world *world,
 			     struct scn_request *request);
@@ -320,6 +351,9 @@
 void scn_platform_put(struct scn_world *world, struct cfg *cfg);
 void scn_platform_free(struct scn_platform *platform);
 
+/* scn-mutate.c */
+const struct scn_mutation *scn_mutation_find(struct gb_str name);
+
 /* scn-caller.c */
 struct scn_request *scn_request_new(struct scn_world *world, uint32_t vm,
 				    struct gb_str service, struct gb_str body);
