--- a/packages/config/cfg-build.c
+++ b/packages/config/cfg-build.c
@@ -85,6 +85,7 @@
 	cfg->dcs = array_new(sizeof(struct cfg_dc), clear_dc);
 	cfg->vms = array_new(sizeof(struct cfg_vm), clear_vm);
 	cfg->services = array_new(sizeof(struct cfg_service), clear_service);
+	cfg->excluded = array_new(sizeof(uint32_t), NULL);
 	cfg->changes = array_new(sizeof(uint64_t), NULL);
 	return cfg;
 }
@@ -102,6 +103,7 @@
 	g_array_unref(cfg->dcs);
 	g_array_unref(cfg->vms);
 	g_array_unref(cfg->services);
+	g_array_unref(cfg->excluded);
 	g_array_unref(cfg->changes);
 	g_free(cfg);
 }
@@ -195,6 +197,22 @@
 				     service->snapshots->len - keep);
 }
 
+/* The oldest exclusion goes first when there are too many. */
+void cfg_exclude_vm(struct cfg *cfg, uint32_t id)
+{
+	cfg_include_vm(cfg, id);
+	g_array_append_val(cfg->excluded, id);
+	if (cfg->excluded->len > CFG_EXCLUDED_MAX)
+		g_array_remove_index(cfg->excluded, 0);
+}
+
+void cfg_include_vm(struct cfg *cfg, uint32_t id)
+{
+	for (guint i = cfg->excluded->len; i-- > 0;)
+		if (g_array_index(cfg->excluded, uint32_t, i) == id)
+			g_array_remove_index(cfg->excluded, i);
+}
+
 /* Notes the identity of a change and forgets the oldest one past the limit. */
 void cfg_add_change(struct cfg *cfg, uint64_t change)
 {
@@ -268,6 +286,8 @@
 	}
 	for (guint i = 0; i < cfg->services->len; i++)
 		cfg_add_service_copy(copy, cfg_service(cfg, i));
+	g_array_append_vals(copy->excluded, cfg->excluded->data,
+			    cfg->excluded->len);
 	g_array_append_vals(copy->changes, cfg->changes->data,
 			    cfg->changes->len);
 	return copy;
--- a/packages/config/cfg-find.c
+++ b/packages/config/cfg-find.c
@@ -24,6 +24,14 @@
 	return -1;
 }
 
+bool cfg_is_excluded(const struct cfg *cfg, uint32_t id)
+{
+	for (guint i = 0; i < cfg->excluded->len; i++)
+		if (g_array_index(cfg->excluded, uint32_t, i) == id)
+			return true;
+	return false;
+}
+
 bool cfg_has_change(const struct cfg *cfg, uint64_t change)
 {
 	for (guint i = 0; i < cfg->changes->len; i++)
--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -24,6 +24,7 @@
 #define CFG_SHARDS_MAX 4096
 #define CFG_REPLICAS_MAX 64
 #define CFG_CHANGES_MAX 32
+#define CFG_EXCLUDED_MAX 1024
 #define CFG_UNITS 256
 #define CFG_OBJECT_MAX (1024 * 1024)
 
@@ -89,6 +90,8 @@
 	GArray *dcs; /* of struct cfg_dc */
 	GArray *vms; /* of struct cfg_vm, ordered by id */
 	GArray *services; /* of struct cfg_service */
+	GArray *excluded; /* of uint32_t, VMs that must not join by themselves
+			   */
 	GArray *changes; /* of uint64_t, identities of the last changes */
 };
 
@@ -117,6 +120,11 @@
 void cfg_keep_snapshots(struct cfg_service *service, uint32_t keep);
 void cfg_add_change(struct cfg *cfg, uint64_t change);
 
+/* A VM that an operator removed stays out until an operator adds it. */
+void cfg_exclude_vm(struct cfg *cfg, uint32_t id);
+void cfg_include_vm(struct cfg *cfg, uint32_t id);
+bool cfg_is_excluded(const struct cfg *cfg, uint32_t id);
+
 /* Checks the rules that hold within one version. */
 int cfg_check(const struct cfg *cfg, struct gb_error *err);
 
--- a/packages/json/js-config-decode.c
+++ b/packages/json/js-config-decode.c
@@ -13,6 +13,7 @@
 	json_t *dcs;
 	json_t *vms;
 	json_t *services;
+	json_t *excluded;
 	json_t *changes;
 };
 
@@ -69,6 +70,8 @@
 	FIELD(config_form, dcs, "dcs", js_read_array, 0, 0, JS_FULL),
 	FIELD(config_form, vms, "vms", js_read_array, 0, 0, JS_FULL),
 	FIELD(config_form, services, "services", js_read_array, 0, 0, JS_FULL),
+	FIELD(config_form, excluded, "excluded", js_read_array, 0, 0,
+	      JS_OPTIONAL),
 	FIELD(config_form, changes, "changes", js_read_array, 0, 0,
 	      JS_OPTIONAL),
 };
@@ -310,6 +313,19 @@
 	return 0;
 }
 
+static int read_excluded(struct decoder *d, json_t *json)
+{
+	struct js_field field = { .key = JS_NAME("excluded"),
+				  .min = 1,
+				  .max = UINT32_MAX };
+	uint32_t id;
+
+	if (js_read_u32(&field, json, &id, d->err))
+		return -1;
+	cfg_exclude_vm(d->cfg, id);
+	return 0;
+}
+
 static int read_change(struct decoder *d, json_t *json)
 {
 	struct js_field field = { .key = JS_NAME("changes") };
@@ -335,6 +351,7 @@
 	if (read_each(d, form.dcs, read_dc) ||
 	    read_each(d, form.vms, read_vm) ||
 	    read_each(d, form.services, read_service) ||
+	    read_each(d, form.excluded, read_excluded) ||
 	    read_each(d, form.changes, read_change))
 		return -1;
 	return d->partial ? 0 : cfg_check(d->cfg, d->err);
--- a/packages/json/js-config-encode.c
+++ b/packages/json/js-config-encode.c
@@ -132,12 +132,17 @@
 json_t *js_config_to_json(const struct cfg *cfg, bool partial)
 {
 	json_t *services = json_array();
+	json_t *excluded = json_array();
 	json_t *changes = json_array();
 	json_t *json = json_object();
 
 	for (guint i = 0; i < cfg->services->len; i++)
 		json_array_append_new(services,
 				      service_json(cfg, cfg_service(cfg, i)));
+	for (guint i = 0; i < cfg->excluded->len; i++)
+		json_array_append_new(excluded,
+				      json_integer(g_array_index(cfg->excluded,
+								 uint32_t, i)));
 	for (guint i = 0; i < cfg->changes->len; i++)
 		json_array_append_new(
 			changes, js_hex_string(g_array_index(cfg->changes,
@@ -147,6 +152,7 @@
 	set_array(json, "dcs", dcs_json(cfg), partial);
 	set_array(json, "vms", vms_json(cfg), partial);
 	set_array(json, "services", services, partial);
+	set_array(json, "excluded", excluded, true);
 	set_array(json, "changes", changes, partial);
 	return json;
 }
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -28,6 +28,8 @@
 static void drop_outcome(struct msg *msg);
 static void own_warm(struct msg *msg);
 static void drop_warm(struct msg *msg);
+static void own_join(struct msg *msg);
+static void drop_join(struct msg *msg);
 static void own_config(struct msg *msg);
 static void drop_config(struct msg *msg);
 
@@ -61,6 +63,9 @@
 	[MSG_WARM] = { .name = NAME("warm"),
 		       .own = own_warm,
 		       .drop = drop_warm },
+	[MSG_JOIN] = { .name = NAME("join"),
+		       .own = own_join,
+		       .drop = drop_join },
 };
 
 static const struct gb_str statuses[MSG_STATUSES] = {
@@ -170,6 +175,20 @@
 	g_free(msg->warm.items);
 }
 
+static void own_join(struct msg *msg)
+{
+	msg->join.name = gb_str_dup(msg->join.name);
+	msg->join.host = gb_str_dup(msg->join.host);
+	msg->join.dc = gb_str_dup(msg->join.dc);
+}
+
+static void drop_join(struct msg *msg)
+{
+	gb_str_free(&msg->join.name);
+	gb_str_free(&msg->join.host);
+	gb_str_free(&msg->join.dc);
+}
+
 static void own_config(struct msg *msg)
 {
 	if (msg->config.cfg)
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -34,6 +34,7 @@
 	MSG_CONFIG,
 	MSG_QUARANTINE,
 	MSG_WARM,
+	MSG_JOIN,
 	MSG_KINDS
 };
 
@@ -184,6 +185,16 @@
 	uint32_t items_len;
 };
 
+/* A VM that is not in the roster asks a granter to add it. */
+struct msg_join {
+	uint64_t config_version;
+	struct gb_str name;
+	struct gb_str host;
+	uint32_t peer_port;
+	uint32_t http_port;
+	struct gb_str dc;
+};
+
 struct msg {
 	enum msg_kind kind;
 	uint32_t from; /* VM id */
@@ -202,6 +213,7 @@
 		struct msg_config config;
 		struct msg_quarantine quarantine;
 		struct msg_warm warm;
+		struct msg_join join;
 	};
 };
 
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -108,6 +108,8 @@
 	uint64_t granter_epoch; /* last epoch in which this VM was a granter */
 	struct sus_table *suspects;
 
+	gb_time started;
+	gb_time roster_at; /* next look at the roster */
 	int self; /* roster index; -1 when not in the roster */
 	gb_time heartbeat_at;
 	gb_time hurry_until; /* heartbeats go faster until then */
@@ -216,7 +218,13 @@
 void nd_on_release(struct node *node, const struct msg *msg);
 void nd_on_outcome(struct node *node, const struct msg *msg);
 
+/* nd-roster.c */
+void nd_roster_tick(struct node *node);
+void nd_on_join(struct node *node, const struct msg *msg);
+
 /* nd-plan.c */
+void nd_plan_write(struct node *node, uint64_t caller, uint64_t plan,
+		   uint64_t base_version, struct cfg *next);
 void nd_plan_tick(struct node *node);
 void nd_plan_store_done(struct node *node,
 			const struct nd_store_result *result);
--- a/packages/node/nd-node.c
+++ b/packages/node/nd-node.c
@@ -19,6 +19,7 @@
 		.lease = 1200 * GB_MSEC,
 		.drift = 50 * GB_MSEC,
 		.suspect_after = 900 * GB_MSEC,
+		.remove_after = 30 * GB_SEC,
 		.key_retention = 900 * GB_SEC,
 		.clock_skew = 5 * GB_SEC,
 		.queries_max = 4096,
@@ -33,6 +34,9 @@
 
 	node->settings = *settings;
 	node->settings.dc = gb_str_dup(settings->dc);
+	node->settings.name = gb_str_dup(settings->name);
+	node->settings.host = gb_str_dup(settings->host);
+	node->started = clock.now;
 	node->ops = ops;
 	node->ctx = ctx;
 	node->metrics = metrics;
@@ -96,6 +100,8 @@
 	sus_free(node->suspects);
 	cfg_store_free(&node->store);
 	gb_str_free(&node->settings.dc);
+	gb_str_free(&node->settings.name);
+	gb_str_free(&node->settings.host);
 	g_free(node);
 }
 
@@ -141,6 +147,7 @@
 	nd_query_tick(node);
 	nd_order_tick(node);
 	nd_plan_tick(node);
+	nd_roster_tick(node);
 	ready = nd_ready(node, clock);
 	if (ready != node->was_ready)
 		nd_event_plain(node, ready ? EV_READY : EV_UNREADY, 0, 0);
--- a/packages/node/nd-peer.c
+++ b/packages/node/nd-peer.c
@@ -16,6 +16,7 @@
 	[MSG_CONFIG] = nd_on_config,
 	[MSG_QUARANTINE] = nd_on_quarantine,
 	[MSG_WARM] = nd_on_warm,
+	[MSG_JOIN] = nd_on_join,
 };
 
 /* Sends one message; those to this VM are handled at the end of the input. */
--- a/packages/node/nd-plan.c
+++ b/packages/node/nd-plan.c
@@ -31,6 +31,9 @@
 		.caller = caller, .code = code, .version = version, .plan = plan
 	};
 
+	/* Changes of the roster have no caller. */
+	if (!caller)
+		return;
 	node->ops->admin_answer(node->ctx, &result);
 }
 
@@ -65,7 +68,6 @@
 		const struct pln_intent *intent)
 {
 	const struct cfg *cfg = node->store.current;
-	struct nd_confirm *confirm;
 	struct cfg *next;
 	struct gb_error err = { .code = GB_ERR_NOT_RUN };
 
@@ -89,16 +91,24 @@
 		respond(node, caller, err.code, cfg ? cfg->version : 0, NULL);
 		goto out;
 	}
-	confirm = g_new0(struct nd_confirm, 1);
+	nd_plan_write(node, caller, plan, base_version, next);
+out:
+	nd_end(node);
+}
+
+/* Writes a changed configuration, takes it over, and answers the caller. */
+void nd_plan_write(struct node *node, uint64_t caller, uint64_t plan,
+		   uint64_t base_version, struct cfg *next)
+{
+	struct nd_confirm *confirm = g_new0(struct nd_confirm, 1);
+
 	confirm->caller = caller;
 	confirm->plan = plan;
 	confirm->base_version = base_version;
 	confirm->next = next;
-	confirm->deadline = clock.now + RESOLVE_TIME;
+	confirm->deadline = node->clock.now + RESOLVE_TIME;
 	g_ptr_array_add(node->confirms, confirm);
 	write_next(node, confirm);
-out:
-	nd_end(node);
 }
 
 static void write_next(struct node *node, struct nd_confirm *confirm)
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -155,12 +155,17 @@
 struct nd_settings {
 	uint32_t vm; /* id in the roster */
 	struct gb_str dc; /* data centre of this VM */
+	struct gb_str name; /* name and addresses, for the roster */
+	struct gb_str host;
+	uint16_t peer_port;
+	uint16_t http_port;
 	uint64_t incarnation; /* unique to this process */
 	uint64_t seed;
 	gb_time heartbeat; /* interval */
 	gb_time lease;
 	gb_time drift; /* margin for clock drift over one lease */
 	gb_time suspect_after; /* silence until a member counts as dead */
+	gb_time remove_after; /* silence until a member leaves the roster */
 	gb_time key_retention;
 	gb_time clock_skew; /* most between two wall clocks */
 	uint32_t queries_max; /* running at once on this VM */
--- a/packages/plan/pln-vm.c
+++ b/packages/plan/pln-vm.c
@@ -38,6 +38,7 @@
 	to->peer_port = from->peer_port;
 	to->http_port = from->http_port;
 	to->dc = dc;
+	cfg_include_vm(next, from->id);
 	next->epoch++;
 	return 0;
 }
@@ -53,6 +54,7 @@
 		return gb_fail(err, GB_ERR_NOT_FOUND, intent->target, 0);
 	if (next->vms->len == 1)
 		return gb_fail(err, GB_ERR_OUT_OF_RANGE, GB_STR("vms"), 0);
+	cfg_exclude_vm(next, cfg_vm(next, index)->id);
 	cfg_remove_vm(next, index);
 	next->epoch++;
 	return 0;
--- a/packages/settings/set-read.c
+++ b/packages/settings/set-read.c
@@ -51,6 +51,7 @@
 static void suspect_allowed(const struct nd_settings *node, struct gb_buf *out);
 static void check_cross(struct reader *reader);
 static void drop_own_seed(struct set_settings *settings);
+static void set_identity(struct set_settings *settings);
 static void parse(struct reader *reader);
 
 static const struct cross_rule cross_rules[] = {
@@ -344,6 +345,17 @@
 	node->seeds_len = kept;
 }
 
+/* What the roster says of this VM; the strings stay the settings' own. */
+static void set_identity(struct set_settings *settings)
+{
+	struct nd_settings *node = &settings->node;
+
+	node->name = settings->name;
+	node->host = settings->host;
+	node->peer_port = settings->peer_port;
+	node->http_port = settings->http_port;
+}
+
 /*
  * Runs libinih over the text. Its buffer is on the stack with 200 bytes by
  * default, too little for a list of seeds; an indented line would continue the
@@ -373,6 +385,7 @@
 	check_required(&reader);
 	check_cross(&reader);
 	drop_own_seed(settings);
+	set_identity(settings);
 	return problems->list->len ? -1 : 0;
 }
 
--- a/packages/settings/set-table.c
+++ b/packages/settings/set-table.c
@@ -122,6 +122,15 @@
 	  AT(node.suspect_after),
 	  .sentence = TEXT("Silence after which a VM counts as dead; longer "
 			   "than one heartbeat.") },
+	{ .section = TEXT("quorum"),
+	  .key = TEXT("remove_s"),
+	  .type = &set_type_s,
+	  .def = TEXT("30"),
+	  .min = 5,
+	  .max = 86400,
+	  AT(node.remove_after),
+	  .sentence = TEXT("Silence after which a VM is removed from the "
+			   "roster; it joins again when it is back.") },
 	{ .section = TEXT("orders"),
 	  .key = TEXT("retention_s"),
 	  .type = &set_type_s,
--- a/packages/wire/tests/wire-test.c
+++ b/packages/wire/tests/wire-test.c
@@ -74,6 +74,12 @@
 	[MSG_OUTCOME].outcome = { { "k4", 2 }, { 111, 112, 113 }, { "o", 1 } },
 	[MSG_CONFIG_FETCH].config_fetch = { .have_version = 120 },
 	[MSG_QUARANTINE].quarantine = { .fingerprint = 130, .crashes = 131 },
+	[MSG_JOIN].join = { 150,
+			    { "vm-9", 4 },
+			    { "127.0.0.9", 9 },
+			    151,
+			    152,
+			    { "dc-a", 4 } },
 	[MSG_WARM].warm = { .items = warm_items,
 			    .items_len = G_N_ELEMENTS(warm_items) },
 };
--- a/packages/wire/wire-config.c
+++ b/packages/wire/wire-config.c
@@ -79,3 +79,15 @@
 			return FALSE;
 	return TRUE;
 }
+
+bool_t wire_xdr_join(XDR *xdrs, struct wire_body *body)
+{
+	struct msg_join *m = &body->msg->join;
+
+	return wire_xdr_u64(xdrs, &m->config_version) &&
+	       wire_xdr_str(xdrs, body, &m->name) &&
+	       wire_xdr_str(xdrs, body, &m->host) &&
+	       wire_xdr_u32(xdrs, &m->peer_port) &&
+	       wire_xdr_u32(xdrs, &m->http_port) &&
+	       wire_xdr_str(xdrs, body, &m->dc);
+}
--- a/packages/wire/wire-row.c
+++ b/packages/wire/wire-row.c
@@ -15,6 +15,7 @@
 			 .prepare = wire_prepare_config },
 	[MSG_QUARANTINE] = { .xdr = wire_xdr_quarantine },
 	[MSG_WARM] = { .xdr = wire_xdr_warm },
+	[MSG_JOIN] = { .xdr = wire_xdr_join },
 };
 
 const struct wire_row *wire_row(uint32_t kind)
--- a/tests/scenario/scn-vm.c
+++ b/tests/scenario/scn-vm.c
@@ -216,8 +216,11 @@
 				 .at = world->now,
 				 .vm = vm };
 
+	struct gb_buf name = GB_BUF_INIT;
+
 	if (vm->node)
 		return;
+	gb_buf_addf(&name, "vm-%u", vm->id);
 	vm->run++;
 	vm->frozen = false;
 	vm->stopping = false;
@@ -228,6 +231,10 @@
 		(uint64_t)(world->wall_base_ms + world->now / GB_MSEC) * 64 +
 		vm->run;
 	settings.seed = gb_rng_next(&world->rng);
+	settings.name = gb_buf_str(&name);
+	settings.host = GB_STR("127.0.0.1");
+	settings.peer_port = 7000 + vm->id;
+	settings.http_port = 8000 + vm->id;
 	settings.seeds_len = 0;
 	for (uint32_t i = 0; i < world->vms; i++)
 		if (i != index)
@@ -237,6 +244,7 @@
 		world->mutation->settings(vm, &settings);
 	memset(&vm->metrics, 0, sizeof(vm->metrics));
 	vm->node = nd_new(&settings, &ops, vm, &vm->metrics, scn_vm_clock(vm));
+	gb_buf_free(&name);
 	scn_fact(world, &fact);
 	scn_vm_reschedule(vm);
 }
