--- a/packages/event/ev-table.c
+++ b/packages/event/ev-table.c
@@ -127,9 +127,6 @@
 	ROW(EV_PEER_BAD_MESSAGE, EV_WARNING, "peer_bad_message",
 	    "A message from another VM could not be decoded; its connection was closed.",
 	    "peer", "error"),
-	ROW(EV_SETTINGS_BAD, EV_ERROR, "settings_bad",
-	    "The settings file has problems; the process ends.", "problems",
-	    ""),
 	ROW(EV_HTTP_BAD_REQUEST, EV_INFO, "http_bad_request",
 	    "An HTTP request was malformed.", "status", "error"),
 };
--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -11,6 +11,7 @@
 static void update_owners(struct node *node);
 static void report_members(struct node *node, uint64_t live);
 static bool update_units(struct node *node);
+static uint32_t count_units(const struct msg_units *units);
 static void report_units(struct node *node);
 static void send_heartbeat(struct node *node);
 static void follow_voter(struct node *node);
@@ -90,6 +91,7 @@
 static bool update_units(struct node *node)
 {
 	bool moving = false;
+	uint32_t released = 0;
 
 	for (uint32_t i = 0; i < CFG_UNITS; i++) {
 		bool mine = node->self >= 0 && node->owner[i] == node->self;
@@ -102,19 +104,36 @@
 		}
 		if (!msg_units_has(&node->holder.wanted, i))
 			continue;
-		if (nd_owner_unit_idle(node, i))
-			quo_holder_release(&node->holder, i);
-		else
+		if (!nd_owner_unit_idle(node, i)) {
 			moving = true;
+			continue;
+		}
+		quo_holder_release(&node->holder, i);
+		/* A unit that was given back is not lost. */
+		if (msg_units_has(&node->held, i))
+			released++;
+		node->held.word[i / 64] &= ~(1ULL << (i % 64));
 	}
+	if (released)
+		nd_event_plain(node, EV_LEASE_RELEASED, released,
+			       count_units(&node->held));
 	return moving;
 }
 
+static uint32_t count_units(const struct msg_units *units)
+{
+	uint32_t sum = 0;
+
+	for (uint32_t i = 0; i < MSG_UNIT_WORDS; i++)
+		sum += __builtin_popcountll(units->word[i]);
+	return sum;
+}
+
 /* Reports which units were gained and lost since the last look. */
 static void report_units(struct node *node)
 {
 	struct msg_units held = { .word = { 0 } };
-	uint32_t gained = 0, lost = 0, total = 0;
+	uint32_t gained = 0, lost = 0, total;
 
 	for (uint32_t i = 0; i < CFG_UNITS; i++)
 		if (quo_holder_expires(&node->holder, i) > node->clock.now)
@@ -124,8 +143,8 @@
 
 		gained += __builtin_popcountll(changed & held.word[i]);
 		lost += __builtin_popcountll(changed & node->held.word[i]);
-		total += __builtin_popcountll(held.word[i]);
 	}
+	total = count_units(&held);
 	node->held = held;
 	met_set(node->metrics, MET_UNITS_HELD, total);
 	met_add(node->metrics, MET_LEASES_GAINED, gained);
--- a/packages/node/nd-plan.c
+++ b/packages/node/nd-plan.c
@@ -147,12 +147,18 @@
 	struct cfg *next;
 
 	if (result->status != ND_STORE_OK) {
+		if (result->status == ND_STORE_CONFLICT)
+			nd_event_plain(node, EV_CONFIG_CONFLICT,
+				       (int64_t)confirm->plan,
+				       confirm->base_version);
 		/* Also a conflict may be with an earlier try of this write. */
 		confirm->next_tick = node->clock.now;
 		return;
 	}
 	next = cfg_copy(confirm->next);
 	next->version = result->version;
+	nd_event_plain(node, EV_CONFIG_WRITTEN, (int64_t)confirm->plan,
+		       result->version);
 	nd_config_offer(node, next);
 	cfg_unref(next);
 	finish(node, confirm, GB_OK, result->version);
--- a/packages/node/nd-query.c
+++ b/packages/node/nd-query.c
@@ -15,6 +15,8 @@
 			const struct cfg_service *service);
 static void answer(struct node *node, struct qry_query *query,
 		   enum gb_code code);
+static void take_result(struct node *node, struct qry_query *query,
+			const struct msg_sub_result *sub);
 static void count_end(struct node *node, const struct qry_query *query,
 		      enum gb_code code);
 
@@ -281,6 +283,17 @@
 	nd_end(node);
 }
 
+static void take_result(struct node *node, struct qry_query *query,
+			const struct msg_sub_result *sub)
+{
+	bool restarted = query->restarted;
+
+	qry_result(query, node->clock.now, node->store.current, sub);
+	if (query->restarted != restarted)
+		nd_event(node, EV_QUERY_RESTARTED, query->id, GB_STR(""),
+			 GB_STR(""), query->snapshot->id, query->shards_len);
+}
+
 void nd_on_result(struct node *node, const struct msg *msg)
 {
 	const struct msg_result *result = &msg->result;
@@ -293,8 +306,7 @@
 		if (nd_order_result(node, result->query, sub))
 			continue;
 		if (query)
-			qry_result(query, node->clock.now, node->store.current,
-				   sub);
+			take_result(node, query, sub);
 		else
 			met_add(node->metrics, MET_ANSWERS_DROPPED, 1);
 	}
