--- a/Makefile
+++ b/Makefile
@@ -118,21 +118,21 @@
 	tests/run-processes $(BUILD)
 
 asan:
-	$(MAKE) BUILD=build-asan CFLAGS="-O1 -g" \
+	$(MAKE) -j8 BUILD=build-asan CFLAGS="-O1 -g" \
 		SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer" \
 		all unit scenario process
 
 check: install-deps
 	$(MAKE) format-check lint
-	$(MAKE) all
+	$(MAKE) -j8 all
 	tests/check
 
 demo: install-deps
-	$(MAKE) all
+	$(MAKE) -j8 all
 	tests/demo $(BUILD)
 
 bench: install-deps
-	$(MAKE) all
+	$(MAKE) -j8 all
 	bench/run $(BUILD)
 
 matrix: all
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -181,13 +181,24 @@
 void nd_owner_leases(struct node *node);
 bool nd_owner_unit_idle(const struct node *node, uint32_t unit);
 uint32_t nd_owner_running(const struct node *node);
-void nd_owner_flush(struct node *node);
 void nd_owner_free(struct node *node);
-void nd_on_batch(struct node *node, const struct msg *msg);
-void nd_on_cancel(struct node *node, const struct msg *msg);
-void nd_on_quarantine(struct node *node, const struct msg *msg);
+struct nd_shard *nd_shard_get(struct node *node, int service, uint32_t index);
 struct nd_service *nd_service_get(struct node *node,
 				  const struct cfg_service *cfg);
+void nd_on_quarantine(struct node *node, const struct msg *msg);
+
+/* nd-work.c */
+struct nd_work *nd_work_find(struct node *node, uint64_t query);
+void nd_work_add(struct node *node, struct nd_work *work,
+		 const struct msg_sub_result *result);
+void nd_work_flush(struct node *node);
+void nd_work_free_all(struct node *node);
+void nd_on_batch(struct node *node, const struct msg *msg);
+void nd_on_cancel(struct node *node, const struct msg *msg);
+
+/* nd-seen.c */
+bool nd_seen_is_new(struct node *node, const struct msg *msg, uint64_t attempt);
+void nd_seen_tick(struct node *node);
 
 /* nd-warm.c */
 void nd_warm_note(struct node *node, struct nd_shard *entry, uint32_t replica,
--- a/packages/node/nd-node.c
+++ b/packages/node/nd-node.c
@@ -82,6 +82,7 @@
 
 	if (!node)
 		return;
+	nd_work_free_all(node);
 	nd_owner_free(node);
 	g_hash_table_iter_init(&iter, node->queries);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -122,7 +123,7 @@
 	struct msg *msg;
 
 	for (;;) {
-		nd_owner_flush(node);
+		nd_work_flush(node);
 		msg = g_queue_pop_head(node->self_queue);
 		if (!msg)
 			break;
--- a/packages/node/nd-owner.c
+++ b/packages/node/nd-owner.c
@@ -1,16 +1,5 @@
 #include "node/nd-internal.h"
 
-/*
- * An order's sub-request is remembered for longer than any copy of its
- * message can be accepted: the longest deadline plus the clock skew, twice.
- */
-#define ORDER_MEMORY (130 * GB_SEC)
-
-struct seen_order {
-	uint64_t attempt;
-	gb_time at;
-};
-
 static void on_send(void *ctx, struct shd_shard *shard,
 		    const struct shd_send *send);
 static void on_cancel_call(void *ctx, struct shd_shard *shard, uint64_t call);
@@ -23,21 +12,7 @@
 static uint64_t on_next_call(void *ctx);
 static void on_warm(void *ctx, struct shd_shard *shard, uint32_t replica,
 		    uint64_t instance);
-static struct nd_work *work_find(struct node *node, uint64_t query);
-static struct nd_work *work_get(struct node *node, const struct msg *msg);
-static void work_free(struct node *node, struct nd_work *work);
-static void work_add(struct node *node, struct nd_work *work,
-		     const struct msg_sub_result *result);
-static struct nd_shard *shard_get(struct node *node, int service,
-				  uint32_t index);
 static void shard_free(struct nd_shard *entry);
-static bool order_is_new(struct node *node, const struct msg *msg,
-			 uint64_t attempt);
-static void forget_orders(struct node *node);
-static enum msg_status admit(struct node *node, const struct msg *msg,
-			     int service, const struct msg_sub *sub);
-static void submit(struct node *node, const struct msg *msg, int service,
-		   struct nd_work *work, const struct msg_sub *sub);
 static const struct cfg_replica *replica_of(const struct node *node,
 					    const struct nd_shard *entry,
 					    uint32_t index);
@@ -116,11 +91,11 @@
 {
 	struct nd_shard *entry = ctx;
 	struct node *node = entry->node;
-	struct nd_work *work = work_find(node, query);
+	struct nd_work *work = nd_work_find(node, query);
 
 	(void)shard;
 	if (work && work->vm == vm)
-		work_add(node, work, result);
+		nd_work_add(node, work, result);
 }
 
 /* Tells all VMs how often a request crashed upstreams. */
@@ -148,7 +123,7 @@
 {
 	struct nd_shard *entry = ctx;
 	struct node *node = entry->node;
-	const struct nd_work *work = work_find(node, query);
+	const struct nd_work *work = nd_work_find(node, query);
 	const struct cfg_replica *target = NULL;
 	struct gb_str dc = GB_STR("");
 
@@ -177,70 +152,6 @@
 	return nd_id(entry->node);
 }
 
-static struct nd_work *work_find(struct node *node, uint64_t query)
-{
-	return g_hash_table_lookup(node->works, &query);
-}
-
-static struct nd_work *work_get(struct node *node, const struct msg *msg)
-{
-	struct nd_work *work = work_find(node, msg->batch.query);
-
-	if (work)
-		return work;
-	work = g_new0(struct nd_work, 1);
-	work->vm = msg->from;
-	work->query = msg->batch.query;
-	work->request = gb_str_dup(msg->batch.request);
-	work->results =
-		g_array_new(FALSE, FALSE, sizeof(struct msg_sub_result));
-	work->shards = g_array_new(FALSE, FALSE, sizeof(struct nd_shard *));
-	g_hash_table_insert(node->works, &work->query, work);
-	return work;
-}
-
-static void work_free(struct node *node, struct nd_work *work)
-{
-	g_hash_table_remove(node->works, &work->query);
-	gb_str_free(&work->request);
-	g_array_unref(work->results);
-	g_array_unref(work->shards);
-	g_free(work);
-}
-
-static void work_add(struct node *node, struct nd_work *work,
-		     const struct msg_sub_result *result)
-{
-	if (work->open)
-		work->open--;
-	g_array_append_vals(work->results, result, 1);
-	if (work->queued)
-		return;
-	work->queued = true;
-	g_ptr_array_add(node->results, work);
-}
-
-/* Sends the results that the current input produced. */
-void nd_owner_flush(struct node *node)
-{
-	for (guint i = 0; i < node->results->len; i++) {
-		struct nd_work *work = g_ptr_array_index(node->results, i);
-		struct msg msg = {
-			.kind = MSG_RESULT,
-			.result = { .query = work->query,
-				    .subs = (void *)work->results->data,
-				    .subs_len = work->results->len },
-		};
-
-		nd_send(node, work->vm, &msg);
-		g_array_set_size(work->results, 0);
-		work->queued = false;
-		if (!work->open)
-			work_free(node, work);
-	}
-	g_ptr_array_set_size(node->results, 0);
-}
-
 struct nd_service *nd_service_get(struct node *node,
 				  const struct cfg_service *cfg)
 {
@@ -261,8 +172,7 @@
 }
 
 /* Finds the shard or starts its queue at the cold limit. */
-static struct nd_shard *shard_get(struct node *node, int service,
-				  uint32_t index)
+struct nd_shard *nd_shard_get(struct node *node, int service, uint32_t index)
 {
 	const struct cfg *cfg = node->store.current;
 	struct nd_service *owner =
@@ -307,7 +217,7 @@
 
 void nd_owner_tick(struct node *node)
 {
-	forget_orders(node);
+	nd_seen_tick(node);
 	nd_owner_leases(node);
 	for (guint i = 0; i < node->shards->len; i++) {
 		struct nd_shard *entry = g_ptr_array_index(node->shards, i);
@@ -358,9 +268,6 @@
 
 void nd_owner_free(struct node *node)
 {
-	GHashTableIter iter;
-	gpointer value;
-
 	for (guint i = 0; i < node->shards->len; i++)
 		shard_free(g_ptr_array_index(node->shards, i));
 	g_ptr_array_free(node->shards, TRUE);
@@ -373,150 +280,7 @@
 		g_free(service);
 	}
 	g_ptr_array_free(node->services, TRUE);
-	g_hash_table_iter_init(&iter, node->works);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct nd_work *work = value;
-
-		g_hash_table_iter_remove(&iter);
-		gb_str_free(&work->request);
-		g_array_unref(work->results);
-		g_array_unref(work->shards);
-		g_free(work);
-	}
-	g_hash_table_destroy(node->works);
 	g_hash_table_destroy(node->calls);
-	g_ptr_array_free(node->results, TRUE);
-}
-
-/*
- * Tells whether an order's sub-request arrives for the first time and soon
- * enough to be sure of that.
- */
-static bool order_is_new(struct node *node, const struct msg *msg,
-			 uint64_t attempt)
-{
-	int64_t sent_ms = (int64_t)(msg->hlc >> 16);
-	int64_t age_max =
-		(msg->batch.time_left + node->settings.clock_skew) / GB_MSEC;
-	struct seen_order *seen;
-
-	if (node->clock.wall_ms - sent_ms > age_max)
-		return false;
-	if (g_hash_table_contains(node->orders_seen, &attempt))
-		return false;
-	seen = g_new(struct seen_order, 1);
-	*seen = (struct seen_order){ .attempt = attempt,
-				     .at = node->clock.now };
-	g_hash_table_add(node->orders_seen, &seen->attempt);
-	g_queue_push_tail(node->orders_seen_age, seen);
-	return true;
-}
-
-static void forget_orders(struct node *node)
-{
-	struct seen_order *seen;
-
-	while ((seen = g_queue_peek_head(node->orders_seen_age))) {
-		if (node->clock.now - seen->at < ORDER_MEMORY)
-			return;
-		g_queue_pop_head(node->orders_seen_age);
-		g_hash_table_remove(node->orders_seen, &seen->attempt);
-		g_free(seen);
-	}
-}
-
-/* Tells whether this VM may serve the sub-request now. */
-static enum msg_status admit(struct node *node, const struct msg *msg,
-			     int service, const struct msg_sub *sub)
-{
-	const struct cfg *cfg = node->store.current;
-	const struct cfg_service *found;
-	uint32_t unit;
-
-	if (service < 0)
-		return MSG_STATUS_NOT_OWNER;
-	found = cfg_service(cfg, service);
-	if (!msg->batch.order && !cfg_snapshot(found, msg->batch.snapshot))
-		return cfg->version < msg->batch.config_version
-			       ? MSG_STATUS_NOT_OWNER
-			       : MSG_STATUS_SNAPSHOT_GONE;
-	if (sub->shard >= found->shards->len)
-		return MSG_STATUS_NOT_OWNER;
-	unit = cfg_unit(found, sub->shard);
-	/* A unit that is to be released finishes its work and takes no more. */
-	if (node->owner[unit] != node->self)
-		return MSG_STATUS_NOT_OWNER;
-	if (quo_holder_expires(&node->holder, unit) <= node->clock.now)
-		return MSG_STATUS_NOT_OWNER;
-	return MSG_STATUS_OK;
-}
-
-static void submit(struct node *node, const struct msg *msg, int service,
-		   struct nd_work *work, const struct msg_sub *sub)
-{
-	const struct msg_batch *batch = &msg->batch;
-	struct msg_sub_result refusal = { .attempt = sub->attempt,
-					  .shard = sub->shard };
-	struct nd_shard *entry;
-	struct shd_request request = {
-		.vm = msg->from,
-		.query = batch->query,
-		.attempt = sub->attempt,
-		.snapshot = batch->snapshot,
-		.fingerprint = batch->fingerprint,
-		.deadline = node->clock.now + batch->time_left,
-		.order = batch->order,
-		.canary = batch->canary,
-		.key = batch->key,
-		.body = batch->body,
-	};
-
-	work->open++;
-	refusal.status = admit(node, msg, service, sub);
-	if (refusal.status != MSG_STATUS_OK) {
-		met_add(node->metrics, MET_SUB_REFUSED, 1);
-		work_add(node, work, &refusal);
-		return;
-	}
-	entry = shard_get(node, service, sub->shard);
-	shd_set_lease(entry->shard,
-		      quo_holder_expires(&node->holder, entry->unit));
-	g_array_append_val(work->shards, entry);
-	shd_submit(entry->shard, node->clock.now, &request);
-}
-
-void nd_on_batch(struct node *node, const struct msg *msg)
-{
-	const struct msg_batch *batch = &msg->batch;
-	const struct cfg *cfg = node->store.current;
-	struct nd_work *work;
-	int service = cfg ? cfg_find_service(cfg, batch->service) : -1;
-
-	nd_config_heard(node, msg->from, batch->config_version);
-	if (batch->order && (!batch->subs_len ||
-			     !order_is_new(node, msg, batch->subs[0].attempt)))
-		return;
-	work = work_get(node, msg);
-	for (uint32_t i = 0; i < batch->subs_len; i++)
-		submit(node, msg, service, work, &batch->subs[i]);
-}
-
-void nd_on_cancel(struct node *node, const struct msg *msg)
-{
-	struct nd_work *work = work_find(node, msg->cancel.query);
-
-	if (!work)
-		return;
-	for (guint i = 0; i < work->shards->len; i++) {
-		struct nd_shard *entry =
-			g_array_index(work->shards, struct nd_shard *, i);
-
-		shd_cancel(entry->shard, node->clock.now, work->vm,
-			   work->query);
-	}
-	work->open = 0;
-	if (!work->queued)
-		work_free(node, work);
 }
 
 void nd_on_quarantine(struct node *node, const struct msg *msg)
