--- a/packages/base/gb-error.c
+++ b/packages/base/gb-error.c
@@ -8,12 +8,9 @@
 	struct gb_str text;
 };
 
-#define INIT_ROW(n, t)                                                \
-	{                                                             \
-		.name = { .ptr = n, .len = sizeof(n) - 1 }, .text = { \
-			.ptr = t,                                     \
-			.len = sizeof(t) - 1                          \
-		}                                                     \
+#define INIT_ROW(n, t)                                         \
+	{                                                      \
+		.name = GB_STR_INIT(n), .text = GB_STR_INIT(t) \
 	}
 
 static const struct code_row codes[GB_ERR_CODES] = {
--- a/packages/base/tests/base-test.c
+++ b/packages/base/tests/base-test.c
@@ -19,13 +19,13 @@
 		       struct gb_buf *out);
 
 static const struct scr_command commands[] = {
-	{ .name = { "int", 3 }, .run = cmd_int },
-	{ .name = { "double", 6 }, .run = cmd_double },
-	{ .name = { "cut", 3 }, .run = cmd_cut },
-	{ .name = { "cmp", 3 }, .run = cmd_cmp },
-	{ .name = { "error", 5 }, .run = cmd_error },
-	{ .name = { "codes", 5 }, .run = cmd_codes },
-	{ .name = { "random", 6 }, .run = cmd_random },
+	{ .name = GB_STR_INIT("int"), .run = cmd_int },
+	{ .name = GB_STR_INIT("double"), .run = cmd_double },
+	{ .name = GB_STR_INIT("cut"), .run = cmd_cut },
+	{ .name = GB_STR_INIT("cmp"), .run = cmd_cmp },
+	{ .name = GB_STR_INIT("error"), .run = cmd_error },
+	{ .name = GB_STR_INIT("codes"), .run = cmd_codes },
+	{ .name = GB_STR_INIT("random"), .run = cmd_random },
 };
 
 static void *open_ctx(void)
--- a/packages/config/cfg-find.c
+++ b/packages/config/cfg-find.c
@@ -105,6 +105,20 @@
 	return g_array_index(snapshot->docs, uint64_t, shard);
 }
 
+void cfg_each_replica(const struct cfg *cfg, cfg_replica_fn fn, void *ctx)
+{
+	for (guint i = 0; i < cfg->services->len; i++) {
+		const struct cfg_service *service = cfg_service(cfg, i);
+
+		for (guint k = 0; k < service->shards->len; k++) {
+			const struct cfg_shard *shard = cfg_shard(service, k);
+
+			for (guint r = 0; r < shard->replicas->len; r++)
+				fn(ctx, cfg, service, cfg_replica(shard, r));
+		}
+	}
+}
+
 uint32_t cfg_granters(const struct cfg *cfg)
 {
 	return MIN(cfg->vms->len, CFG_GRANTERS_MAX);
--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -151,6 +151,12 @@
 uint64_t cfg_snapshot_docs(const struct cfg_snapshot *snapshot);
 uint64_t cfg_shard_docs(const struct cfg_snapshot *snapshot, uint32_t shard);
 
+/* Calls fn for each replica of each shard of each service. */
+typedef void (*cfg_replica_fn)(void *ctx, const struct cfg *cfg,
+			       const struct cfg_service *service,
+			       const struct cfg_replica *replica);
+void cfg_each_replica(const struct cfg *cfg, cfg_replica_fn fn, void *ctx);
+
 /* The first CFG_GRANTERS_MAX VMs by id are the granters of the cell. */
 uint32_t cfg_granters(const struct cfg *cfg);
 uint32_t cfg_majority(const struct cfg *cfg);
--- a/packages/ctl/ctl-plan.c
+++ b/packages/ctl/ctl-plan.c
@@ -3,11 +3,6 @@
 #include "json/js.h"
 #include "json/js-part.h"
 
-#define TEXT(lit)                                    \
-	{                                            \
-		.ptr = (lit), .len = sizeof(lit) - 1 \
-	}
-
 /* How the words after the name of an intent are read. */
 struct form {
 	enum pln_kind kind;
@@ -31,39 +26,39 @@
 
 static const struct form forms[] = {
 	{ .kind = PLN_DC_OUT,
-	  .usage = TEXT("DC"),
+	  .usage = GB_STR_INIT("DC"),
 	  .words = 1,
 	  .fill = fill_target },
 	{ .kind = PLN_DC_BACK,
-	  .usage = TEXT("DC"),
+	  .usage = GB_STR_INIT("DC"),
 	  .words = 1,
 	  .fill = fill_target },
 	{ .kind = PLN_UPSTREAM_DRAIN,
-	  .usage = TEXT("SERVICE/REPLICA"),
+	  .usage = GB_STR_INIT("SERVICE/REPLICA"),
 	  .words = 1,
 	  .fill = fill_target },
 	{ .kind = PLN_UPSTREAM_RESTORE,
-	  .usage = TEXT("SERVICE/REPLICA"),
+	  .usage = GB_STR_INIT("SERVICE/REPLICA"),
 	  .words = 1,
 	  .fill = fill_target },
 	{ .kind = PLN_LIMIT_SET,
-	  .usage = TEXT("SERVICE FIELD VALUE"),
+	  .usage = GB_STR_INIT("SERVICE FIELD VALUE"),
 	  .words = 3,
 	  .fill = fill_limit },
 	{ .kind = PLN_SERVICE_CREATE,
-	  .usage = TEXT("FILE.json"),
+	  .usage = GB_STR_INIT("FILE.json"),
 	  .words = 1,
 	  .fill = fill_part },
 	{ .kind = PLN_SNAPSHOT_PUBLISH,
-	  .usage = TEXT("FILE.json"),
+	  .usage = GB_STR_INIT("FILE.json"),
 	  .words = 1,
 	  .fill = fill_part },
 	{ .kind = PLN_VM_ADD,
-	  .usage = TEXT("FILE.json"),
+	  .usage = GB_STR_INIT("FILE.json"),
 	  .words = 1,
 	  .fill = fill_part },
 	{ .kind = PLN_VM_REMOVE,
-	  .usage = TEXT("NAME"),
+	  .usage = GB_STR_INIT("NAME"),
 	  .words = 1,
 	  .fill = fill_target },
 };
--- a/packages/ctl/tests/ctl-test.c
+++ b/packages/ctl/tests/ctl-test.c
@@ -45,11 +45,11 @@
 			struct gb_buf *out);
 
 static const struct scr_command commands[] = {
-	{ .name = { "answer", 6 }, .run = cmd_answer },
-	{ .name = { "file", 4 }, .run = cmd_file },
-	{ .name = { "saved", 5 }, .run = cmd_saved },
-	{ .name = { "run", 3 }, .run = cmd_run },
-	{ .name = { "servers", 7 }, .run = cmd_servers },
+	{ .name = GB_STR_INIT("answer"), .run = cmd_answer },
+	{ .name = GB_STR_INIT("file"), .run = cmd_file },
+	{ .name = GB_STR_INIT("saved"), .run = cmd_saved },
+	{ .name = GB_STR_INIT("run"), .run = cmd_run },
+	{ .name = GB_STR_INIT("servers"), .run = cmd_servers },
 };
 
 static void *open_ctx(void)
--- a/packages/ctl/tests/http-test.c
+++ b/packages/ctl/tests/http-test.c
@@ -36,28 +36,28 @@
 		    struct gb_buf *out);
 
 static const struct scr_command commands[] = {
-	{ .name = { "serve", 5 }, .run = cmd_serve },
-	{ .name = { "refuse", 6 }, .run = cmd_refuse },
-	{ .name = { "ask", 3 }, .run = cmd_ask },
+	{ .name = GB_STR_INIT("serve"), .run = cmd_serve },
+	{ .name = GB_STR_INIT("refuse"), .run = cmd_refuse },
+	{ .name = GB_STR_INIT("ask"), .run = cmd_ask },
 };
 
 static const struct reply replies[] = {
-	{ .name = { "ok", 2 },
+	{ .name = GB_STR_INIT("ok"),
 	  .text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nETag: \"12\"\r\n"
 		  "\r\nhi" },
-	{ .name = { "kept", 4 },
+	{ .name = GB_STR_INIT("kept"),
 	  .text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
 	  .keep = true },
-	{ .name = { "chunked", 7 },
+	{ .name = GB_STR_INIT("chunked"),
 	  .text = "HTTP/1.1 409 Conflict\r\nTransfer-Encoding: chunked\r\n"
 		  "ETag: W/\"x\"\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n" },
-	{ .name = { "cut", 3 },
+	{ .name = GB_STR_INIT("cut"),
 	  .text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi" },
-	{ .name = { "empty", 5 },
+	{ .name = GB_STR_INIT("empty"),
 	  .text = "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n" },
-	{ .name = { "closed", 6 } },
-	{ .name = { "garbage", 7 }, .text = "SSH-2.0-none\r\n\r\n" },
-	{ .name = { "silent", 6 }, .silent = true },
+	{ .name = GB_STR_INIT("closed") },
+	{ .name = GB_STR_INIT("garbage"), .text = "SSH-2.0-none\r\n\r\n" },
+	{ .name = GB_STR_INIT("silent"), .silent = true },
 };
 
 static void *open_ctx(void)
--- a/packages/event/ev-table.c
+++ b/packages/event/ev-table.c
@@ -1,13 +1,10 @@
 #include "event/ev.h"
 
-#define TEXT(lit)                                    \
-	{                                            \
-		.ptr = (lit), .len = sizeof(lit) - 1 \
-	}
-#define ROW(c, s, n, m, x, y)                                   \
-	{                                                       \
-		.code = (c), .severity = (s), .name = TEXT(n),  \
-		.meaning = TEXT(m), .a = TEXT(x), .b = TEXT(y), \
+#define ROW(c, s, n, m, x, y)                                         \
+	{                                                             \
+		.code = (c), .severity = (s), .name = GB_STR_INIT(n), \
+		.meaning = GB_STR_INIT(m), .a = GB_STR_INIT(x),       \
+		.b = GB_STR_INIT(y),                                  \
 	}
 
 /* Ordered by number. */
--- a/packages/event/tests/event-test.c
+++ b/packages/event/tests/event-test.c
@@ -33,15 +33,15 @@
 		      struct gb_buf *out);
 
 static const struct scr_command commands[] = {
-	{ .name = { "tick", 4 }, .run = cmd_tick },
-	{ .name = { "merge", 5 }, .run = cmd_merge },
-	{ .name = { "text", 4 }, .run = cmd_text },
-	{ .name = { "quote", 5 }, .run = cmd_quote },
-	{ .name = { "match", 5 }, .run = cmd_match },
-	{ .name = { "cmp", 3 }, .run = cmd_cmp },
-	{ .name = { "ring", 4 }, .run = cmd_ring },
-	{ .name = { "add", 3 }, .run = cmd_add },
-	{ .name = { "table", 5 }, .run = cmd_table },
+	{ .name = GB_STR_INIT("tick"), .run = cmd_tick },
+	{ .name = GB_STR_INIT("merge"), .run = cmd_merge },
+	{ .name = GB_STR_INIT("text"), .run = cmd_text },
+	{ .name = GB_STR_INIT("quote"), .run = cmd_quote },
+	{ .name = GB_STR_INIT("match"), .run = cmd_match },
+	{ .name = GB_STR_INIT("cmp"), .run = cmd_cmp },
+	{ .name = GB_STR_INIT("ring"), .run = cmd_ring },
+	{ .name = GB_STR_INIT("add"), .run = cmd_add },
+	{ .name = GB_STR_INIT("table"), .run = cmd_table },
 };
 
 static void *open_ctx(void)
--- a/packages/json/js-answer.c
+++ b/packages/json/js-answer.c
@@ -3,17 +3,12 @@
 
 #include <string.h>
 
-#define NAME(text)                                   \
-	{                                            \
-		.ptr = text, .len = sizeof(text) - 1 \
-	}
-
 static const struct gb_str reasons[] = {
-	[ND_DEGRADED_TIMEOUT] = NAME("\"timeout\""),
-	[ND_DEGRADED_OVERLOAD] = NAME("\"overload\""),
-	[ND_DEGRADED_UNAVAILABLE] = NAME("\"unavailable\""),
-	[ND_DEGRADED_SNAPSHOT] = NAME("\"snapshot\""),
-	[ND_DEGRADED_FAILED] = NAME("\"failed\""),
+	[ND_DEGRADED_TIMEOUT] = GB_STR_INIT("\"timeout\""),
+	[ND_DEGRADED_OVERLOAD] = GB_STR_INIT("\"overload\""),
+	[ND_DEGRADED_UNAVAILABLE] = GB_STR_INIT("\"unavailable\""),
+	[ND_DEGRADED_SNAPSHOT] = GB_STR_INIT("\"snapshot\""),
+	[ND_DEGRADED_FAILED] = GB_STR_INIT("\"failed\""),
 };
 
 static struct gb_str trim(struct gb_str s);
--- a/packages/json/js-config-decode.c
+++ b/packages/json/js-config-decode.c
@@ -60,7 +60,7 @@
 
 #define FIELD(form, member, k, reader, lo, hi, n)                              \
 	{                                                                      \
-		.key = JS_NAME(k), .read = reader,                             \
+		.key = GB_STR_INIT(k), .read = reader,                         \
 		.offset = offsetof(struct form, member), .min = lo, .max = hi, \
 		.need = n                                                      \
 	}
@@ -126,7 +126,7 @@
 };
 
 static const struct js_field shard_fields[] = {
-	{ .key = JS_NAME("replicas"),
+	{ .key = GB_STR_INIT("replicas"),
 	  .read = js_read_array,
 	  .need = JS_REQUIRED },
 };
@@ -149,7 +149,7 @@
 };
 
 static const struct js_field docs_field = {
-	.key = JS_NAME("docs"),
+	.key = GB_STR_INIT("docs"),
 	.max = INT64_MAX / CFG_SHARDS_MAX, /* the sum stays in range */
 };
 
@@ -315,7 +315,7 @@
 
 static int read_excluded(struct decoder *d, json_t *json)
 {
-	struct js_field field = { .key = JS_NAME("excluded"),
+	struct js_field field = { .key = GB_STR_INIT("excluded"),
 				  .min = 1,
 				  .max = UINT32_MAX };
 	uint32_t id;
@@ -328,7 +328,7 @@
 
 static int read_change(struct decoder *d, json_t *json)
 {
-	struct js_field field = { .key = JS_NAME("changes") };
+	struct js_field field = { .key = GB_STR_INIT("changes") };
 	uint64_t change;
 
 	if (js_read_hex(&field, json, &change, d->err))
--- a/packages/json/js-event.c
+++ b/packages/json/js-event.c
@@ -6,7 +6,7 @@
 
 #define FIELD(member, k, reader, lo, hi, n)                               \
 	{                                                                 \
-		.key = JS_NAME(k), .read = reader,                        \
+		.key = GB_STR_INIT(k), .read = reader,                    \
 		.offset = offsetof(struct event_form, member), .min = lo, \
 		.max = hi, .need = n                                      \
 	}
--- a/packages/json/js-field.h
+++ b/packages/json/js-field.h
@@ -16,11 +16,6 @@
 
 #include <jansson.h>
 
-#define JS_NAME(text)                                \
-	{                                            \
-		.ptr = text, .len = sizeof(text) - 1 \
-	}
-
 enum js_need {
 	JS_OPTIONAL,
 	JS_FULL, /* may be left out of a partial configuration */
--- a/packages/json/js-intent.c
+++ b/packages/json/js-intent.c
@@ -13,21 +13,21 @@
 };
 
 static const struct js_field fields[] = {
-	{ .key = JS_NAME("intent"),
+	{ .key = GB_STR_INIT("intent"),
 	  .read = js_read_str,
 	  .offset = offsetof(struct intent_form, kind),
 	  .need = JS_REQUIRED },
-	{ .key = JS_NAME("target"),
+	{ .key = GB_STR_INIT("target"),
 	  .read = js_read_str,
 	  .offset = offsetof(struct intent_form, target) },
-	{ .key = JS_NAME("field"),
+	{ .key = GB_STR_INIT("field"),
 	  .read = js_read_str,
 	  .offset = offsetof(struct intent_form, field) },
-	{ .key = JS_NAME("value"),
+	{ .key = GB_STR_INIT("value"),
 	  .read = js_read_i64,
 	  .offset = offsetof(struct intent_form, value),
 	  .max = INT64_MAX },
-	{ .key = JS_NAME("part"),
+	{ .key = GB_STR_INIT("part"),
 	  .read = js_read_child,
 	  .offset = offsetof(struct intent_form, part) },
 };
--- a/packages/json/js-plan.c
+++ b/packages/json/js-plan.c
@@ -16,20 +16,20 @@
 static json_t *effects_json(const struct pln_plan *plan);
 
 static const struct js_field fields[] = {
-	{ .key = JS_NAME("plan"),
+	{ .key = GB_STR_INIT("plan"),
 	  .read = js_read_hex,
 	  .offset = offsetof(struct confirm_form, plan),
 	  .need = JS_REQUIRED },
-	{ .key = JS_NAME("base_version"),
+	{ .key = GB_STR_INIT("base_version"),
 	  .read = js_read_i64,
 	  .offset = offsetof(struct confirm_form, base_version),
 	  .max = INT64_MAX,
 	  .need = JS_REQUIRED },
-	{ .key = JS_NAME("intent"),
+	{ .key = GB_STR_INIT("intent"),
 	  .read = js_read_child,
 	  .offset = offsetof(struct confirm_form, intent),
 	  .need = JS_REQUIRED },
-	{ .key = JS_NAME("effects"),
+	{ .key = GB_STR_INIT("effects"),
 	  .read = js_read_child,
 	  .offset = offsetof(struct confirm_form, effects) },
 };
--- a/packages/json/tests/json-test.c
+++ b/packages/json/tests/json-test.c
@@ -88,25 +88,29 @@
 		       struct gb_buf *out);
 
 static const struct codec codecs[] = {
-	{ .name = { "config", 6 }, .base = base_config, .pass = pass_config },
-	{ .name = { "intent", 6 }, .base = INTENT, .pass = pass_intent },
-	{ .name = { "confirm", 7 },
+	{ .name = GB_STR_INIT("config"),
+	  .base = base_config,
+	  .pass = pass_config },
+	{ .name = GB_STR_INIT("intent"), .base = INTENT, .pass = pass_intent },
+	{ .name = GB_STR_INIT("confirm"),
 	  .base = base_confirm,
 	  .pass = pass_confirm },
-	{ .name = { "event", 5 }, .base = base_event, .pass = pass_event },
+	{ .name = GB_STR_INIT("event"),
+	  .base = base_event,
+	  .pass = pass_event },
 };
 
 static const struct scr_command commands[] = {
-	{ .name = { "pass", 4 }, .run = cmd_pass },
-	{ .name = { "edit", 4 }, .run = cmd_edit },
-	{ .name = { "prefixes", 8 }, .run = cmd_prefixes },
-	{ .name = { "mutate", 6 }, .run = cmd_mutate },
-	{ .name = { "scan", 4 }, .run = cmd_scan },
-	{ .name = { "body", 4 }, .run = cmd_body },
-	{ .name = { "answer", 6 }, .run = cmd_answer },
-	{ .name = { "error", 5 }, .run = cmd_error },
-	{ .name = { "escape", 6 }, .run = cmd_escape },
-	{ .name = { "status", 6 }, .run = cmd_status },
+	{ .name = GB_STR_INIT("pass"), .run = cmd_pass },
+	{ .name = GB_STR_INIT("edit"), .run = cmd_edit },
+	{ .name = GB_STR_INIT("prefixes"), .run = cmd_prefixes },
+	{ .name = GB_STR_INIT("mutate"), .run = cmd_mutate },
+	{ .name = GB_STR_INIT("scan"), .run = cmd_scan },
+	{ .name = GB_STR_INIT("body"), .run = cmd_body },
+	{ .name = GB_STR_INIT("answer"), .run = cmd_answer },
+	{ .name = GB_STR_INIT("error"), .run = cmd_error },
+	{ .name = GB_STR_INIT("escape"), .run = cmd_escape },
+	{ .name = GB_STR_INIT("status"), .run = cmd_status },
 };
 
 static void *open_ctx(void)
--- a/packages/metric/met-text.c
+++ b/packages/metric/met-text.c
@@ -2,13 +2,9 @@
 
 #include <inttypes.h>
 
-#define TEXT(lit)                                     \
-	{                                             \
-		.ptr = (lit), .len = sizeof(lit) - 1, \
-	}
-#define ROW(n, h)                                               \
-	{                                                       \
-		.name = TEXT("gentianbend_" n), .help = TEXT(h) \
+#define ROW(n, h)                                                             \
+	{                                                                     \
+		.name = GB_STR_INIT("gentianbend_" n), .help = GB_STR_INIT(h) \
 	}
 
 /* Buckets between two power-of-two bounds; only those bounds are printed. */
--- a/packages/metric/tests/metric-test.c
+++ b/packages/metric/tests/metric-test.c
@@ -19,12 +19,12 @@
 		      struct gb_buf *out);
 
 static const struct scr_command commands[] = {
-	{ .name = { "bounds", 6 }, .run = cmd_bounds },
-	{ .name = { "add", 3 }, .run = cmd_add },
-	{ .name = { "quantile", 8 }, .run = cmd_quantile },
-	{ .name = { "decay", 5 }, .run = cmd_decay },
-	{ .name = { "text", 4 }, .run = cmd_text },
-	{ .name = { "names", 5 }, .run = cmd_names },
+	{ .name = GB_STR_INIT("bounds"), .run = cmd_bounds },
+	{ .name = GB_STR_INIT("add"), .run = cmd_add },
+	{ .name = GB_STR_INIT("quantile"), .run = cmd_quantile },
+	{ .name = GB_STR_INIT("decay"), .run = cmd_decay },
+	{ .name = GB_STR_INIT("text"), .run = cmd_text },
+	{ .name = GB_STR_INIT("names"), .run = cmd_names },
 };
 
 static void *open_ctx(void)
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -2,11 +2,6 @@
 
 #include <glib.h>
 
-#define NAME(text)                                   \
-	{                                            \
-		.ptr = text, .len = sizeof(text) - 1 \
-	}
-
 /* How to copy and free what the message of one kind owns. */
 struct kind_row {
 	struct gb_str name;
@@ -34,50 +29,50 @@
 static void drop_config(struct msg *msg);
 
 static const struct kind_row kinds[MSG_KINDS] = {
-	[MSG_HEARTBEAT] = { .name = NAME("heartbeat") },
-	[MSG_HEARTBEAT_REPLY] = { .name = NAME("heartbeat_reply") },
-	[MSG_QUERY_BATCH] = { .name = NAME("batch"),
+	[MSG_HEARTBEAT] = { .name = GB_STR_INIT("heartbeat") },
+	[MSG_HEARTBEAT_REPLY] = { .name = GB_STR_INIT("heartbeat_reply") },
+	[MSG_QUERY_BATCH] = { .name = GB_STR_INIT("batch"),
 			      .own = own_batch,
 			      .drop = drop_batch },
-	[MSG_RESULT] = { .name = NAME("result"),
+	[MSG_RESULT] = { .name = GB_STR_INIT("result"),
 			 .own = own_result,
 			 .drop = drop_result },
-	[MSG_CANCEL] = { .name = NAME("cancel") },
-	[MSG_VOTE] = { .name = NAME("vote"),
+	[MSG_CANCEL] = { .name = GB_STR_INIT("cancel") },
+	[MSG_VOTE] = { .name = GB_STR_INIT("vote"),
 		       .own = own_vote,
 		       .drop = drop_vote },
-	[MSG_VOTE_REPLY] = { .name = NAME("vote_reply"),
+	[MSG_VOTE_REPLY] = { .name = GB_STR_INIT("vote_reply"),
 			     .own = own_vote_reply,
 			     .drop = drop_vote_reply },
-	[MSG_RELEASE] = { .name = NAME("release"),
+	[MSG_RELEASE] = { .name = GB_STR_INIT("release"),
 			  .own = own_release,
 			  .drop = drop_release },
-	[MSG_OUTCOME] = { .name = NAME("outcome"),
+	[MSG_OUTCOME] = { .name = GB_STR_INIT("outcome"),
 			  .own = own_outcome,
 			  .drop = drop_outcome },
-	[MSG_CONFIG_FETCH] = { .name = NAME("config_fetch") },
-	[MSG_CONFIG] = { .name = NAME("config"),
+	[MSG_CONFIG_FETCH] = { .name = GB_STR_INIT("config_fetch") },
+	[MSG_CONFIG] = { .name = GB_STR_INIT("config"),
 			 .own = own_config,
 			 .drop = drop_config },
-	[MSG_QUARANTINE] = { .name = NAME("quarantine") },
-	[MSG_WARM] = { .name = NAME("warm"),
+	[MSG_QUARANTINE] = { .name = GB_STR_INIT("quarantine") },
+	[MSG_WARM] = { .name = GB_STR_INIT("warm"),
 		       .own = own_warm,
 		       .drop = drop_warm },
-	[MSG_JOIN] = { .name = NAME("join"),
+	[MSG_JOIN] = { .name = GB_STR_INIT("join"),
 		       .own = own_join,
 		       .drop = drop_join },
 };
 
 static const struct gb_str statuses[MSG_STATUSES] = {
-	[MSG_STATUS_OK] = NAME("ok"),
-	[MSG_STATUS_NOT_RUN] = NAME("not_run"),
-	[MSG_STATUS_NOT_OWNER] = NAME("not_owner"),
-	[MSG_STATUS_OVERLOAD] = NAME("overload"),
-	[MSG_STATUS_UNKNOWN] = NAME("unknown"),
-	[MSG_STATUS_DEADLINE] = NAME("deadline"),
-	[MSG_STATUS_SNAPSHOT_GONE] = NAME("snapshot_gone"),
-	[MSG_STATUS_QUARANTINED] = NAME("quarantined"),
-	[MSG_STATUS_FAILED] = NAME("failed"),
+	[MSG_STATUS_OK] = GB_STR_INIT("ok"),
+	[MSG_STATUS_NOT_RUN] = GB_STR_INIT("not_run"),
+	[MSG_STATUS_NOT_OWNER] = GB_STR_INIT("not_owner"),
+	[MSG_STATUS_OVERLOAD] = GB_STR_INIT("overload"),
+	[MSG_STATUS_UNKNOWN] = GB_STR_INIT("unknown"),
+	[MSG_STATUS_DEADLINE] = GB_STR_INIT("deadline"),
+	[MSG_STATUS_SNAPSHOT_GONE] = GB_STR_INIT("snapshot_gone"),
+	[MSG_STATUS_QUARANTINED] = GB_STR_INIT("quarantined"),
+	[MSG_STATUS_FAILED] = GB_STR_INIT("failed"),
 };
 
 static void own_batch(struct msg *msg)
--- a/packages/node/nd-order.c
+++ b/packages/node/nd-order.c
@@ -16,6 +16,9 @@
 static struct nd_order *find_running(struct node *node, struct gb_str key);
 static void refuse(struct node *node, const struct nd_request *request,
 		   enum gb_code code);
+static enum gb_code admit(struct node *node, const struct nd_request *request);
+static struct nd_order *order_new(struct node *node,
+				  const struct nd_request *request);
 static void answer(struct node *node, struct nd_order *order, enum gb_code code,
 		   struct gb_str body, bool replayed);
 static void remove_order(struct node *node, struct nd_order *order);
@@ -248,60 +251,78 @@
 	}
 }
 
-void nd_order(struct node *node, struct nd_clock clock,
-	      const struct nd_request *request)
+/* Checks an order; GB_OK lets it ask for votes. */
+static enum gb_code admit(struct node *node, const struct nd_request *request)
 {
-	struct cfg *cfg = node->store.current;
-	const struct cfg_service *service;
+	const struct cfg *cfg = node->store.current;
 	struct gb_error err;
-	struct nd_order *order;
-	struct msg_order_id id = { .vm = node->settings.vm,
-				   .incarnation = node->settings.incarnation };
-	struct msg msg = { .kind = MSG_VOTE };
-	gb_time deadline;
-	int index;
 
-	nd_begin(node, clock);
-	met_add(node->metrics, MET_ORDERS, 1);
-	if (once_key_check(request->key, clock.wall_ms,
+	if (once_key_check(request->key, node->clock.wall_ms,
 			   node->settings.key_retention,
-			   node->settings.clock_skew, &err)) {
-		refuse(node, request, err.code);
-		goto out;
-	}
+			   node->settings.clock_skew, &err))
+		return err.code;
 	/* An earlier send of the key may have run: only voters can tell. */
-	if (!cfg) {
-		refuse(node, request, GB_ERR_UNKNOWN_OUTCOME);
-		goto out;
-	}
-	index = cfg_find_service(cfg, request->service);
-	if (index < 0) {
-		refuse(node, request, GB_ERR_UNKNOWN_SERVICE);
-		goto out;
-	}
-	service = cfg_service(cfg, index);
-	if (find_running(node, request->key)) {
-		refuse(node, request, GB_ERR_IN_PROGRESS);
-		goto out;
-	}
-	id.number = nd_id(node);
-	order = g_new0(struct nd_order, 1);
-	if (once_attempt_init(&order->attempt, cfg, request->key, &id, &err)) {
+	if (!cfg)
+		return GB_ERR_UNKNOWN_OUTCOME;
+	if (cfg_find_service(cfg, request->service) < 0)
+		return GB_ERR_UNKNOWN_SERVICE;
+	if (find_running(node, request->key))
+		return GB_ERR_IN_PROGRESS;
+	return GB_OK;
+}
+
+/* Makes the order and its attempt; NULL without enough granters. */
+static struct nd_order *order_new(struct node *node,
+				  const struct nd_request *request)
+{
+	const struct cfg *cfg = node->store.current;
+	struct msg_order_id id = { .vm = node->settings.vm,
+				   .incarnation = node->settings.incarnation,
+				   .number = nd_id(node) };
+	struct nd_order *order = g_new0(struct nd_order, 1);
+	gb_time deadline = request->deadline;
+
+	if (once_attempt_init(&order->attempt, cfg, request->key, &id, NULL)) {
 		g_free(order);
-		refuse(node, request, GB_ERR_UNKNOWN_OUTCOME);
-		goto out;
+		return NULL;
 	}
-	deadline = request->deadline ? request->deadline : service->deadline;
+	if (!deadline)
+		deadline = cfg_service(cfg,
+				       cfg_find_service(cfg, request->service))
+				   ->deadline;
 	order->state = ND_ORDER_VOTING;
 	order->id = gb_str_dup(request->id);
 	order->service = gb_str_dup(request->service);
 	order->body = gb_str_dup(request->body);
 	order->fingerprint = qry_fingerprint(request->service, request->body);
 	order->caller = request->caller;
-	order->begin = clock.now;
-	order->deadline = clock.now + deadline;
-	order->next_tick = clock.now + MIN(VOTE_TIME, deadline / 2);
+	order->begin = node->clock.now;
+	order->deadline = node->clock.now + deadline;
+	order->next_tick = node->clock.now + MIN(VOTE_TIME, deadline / 2);
 	g_hash_table_insert(node->orders, &order->attempt.order.number, order);
+	return order;
+}
+
+void nd_order(struct node *node, struct nd_clock clock,
+	      const struct nd_request *request)
+{
+	struct msg msg = { .kind = MSG_VOTE };
+	struct nd_order *order = NULL;
+	enum gb_code code;
+
+	nd_begin(node, clock);
+	met_add(node->metrics, MET_ORDERS, 1);
+	code = admit(node, request);
+	if (code == GB_OK) {
+		order = order_new(node, request);
+		/* Too few granters: an earlier send of the key may have run. */
+		if (!order)
+			code = GB_ERR_UNKNOWN_OUTCOME;
+	}
+	if (code != GB_OK) {
+		refuse(node, request, code);
+		goto out;
+	}
 	once_attempt_message(&order->attempt, &msg.vote);
 	nd_send_granters(node, &msg);
 out:
--- a/packages/node/nd-query.c
+++ b/packages/node/nd-query.c
@@ -11,6 +11,8 @@
 		       struct msg_sub *subs, uint32_t len, bool canary);
 static void refuse(struct node *node, const struct nd_request *request,
 		   enum gb_code code);
+static enum gb_code admit(struct node *node, const struct nd_request *request,
+			  struct qry_request *in);
 static bool vm_has_room(const struct node *node,
 			const struct cfg_service *service);
 static void answer(struct node *node, struct qry_query *query,
@@ -225,13 +227,38 @@
 	       share * (double)node->settings.queries_max;
 }
 
+/* Checks a lookup and completes it; GB_OK admits it. */
+static enum gb_code admit(struct node *node, const struct nd_request *request,
+			  struct qry_request *in)
+{
+	const struct cfg *cfg = node->store.current;
+	const struct cfg_service *service;
+	enum sus_state suspicion;
+	int index;
+
+	if (!cfg || !nd_quorum(node))
+		return GB_ERR_NOT_RUN;
+	index = cfg_find_service(cfg, request->service);
+	if (index < 0)
+		return GB_ERR_UNKNOWN_SERVICE;
+	service = cfg_service(cfg, index);
+	if (!cfg_newest_snapshot(service))
+		return GB_ERR_NOT_RUN;
+	in->service = index;
+	in->fingerprint = qry_fingerprint(service->name, request->body);
+	suspicion = sus_state(node->suspects, node->clock.now, in->fingerprint);
+	if (suspicion == SUS_QUARANTINED)
+		return GB_ERR_QUARANTINED;
+	in->known_good = suspicion == SUS_GOOD;
+	if (!vm_has_room(node, service) ||
+	    !qry_admission_enter(&nd_service_get(node, service)->admission))
+		return GB_ERR_OVER_LIMIT;
+	return GB_OK;
+}
+
 void nd_lookup(struct node *node, struct nd_clock clock,
 	       const struct nd_request *request)
 {
-	struct cfg *cfg = node->store.current;
-	const struct cfg_service *config;
-	struct nd_service *service;
-	struct qry_query *query;
 	struct qry_request in = {
 		.caller = request->caller,
 		.id = request->id,
@@ -239,40 +266,20 @@
 		.deadline = request->deadline,
 		.min_coverage = request->min_coverage,
 	};
-	int index;
+	struct cfg *cfg = node->store.current;
+	const struct nd_service *service;
+	struct qry_query *query;
+	enum gb_code code;
 
 	nd_begin(node, clock);
 	met_add(node->metrics, MET_QUERIES, 1);
-	if (!cfg || !nd_quorum(node)) {
-		refuse(node, request, GB_ERR_NOT_RUN);
-		goto out;
-	}
-	index = cfg_find_service(cfg, request->service);
-	if (index < 0) {
-		refuse(node, request, GB_ERR_UNKNOWN_SERVICE);
-		goto out;
-	}
-	config = cfg_service(cfg, index);
-	if (!cfg_newest_snapshot(config)) {
-		refuse(node, request, GB_ERR_NOT_RUN);
-		goto out;
-	}
-	in.fingerprint = qry_fingerprint(config->name, request->body);
-	if (sus_state(node->suspects, clock.now, in.fingerprint) ==
-	    SUS_QUARANTINED) {
-		refuse(node, request, GB_ERR_QUARANTINED);
-		goto out;
-	}
-	service = nd_service_get(node, config);
-	if (!vm_has_room(node, config) ||
-	    !qry_admission_enter(&service->admission)) {
-		refuse(node, request, GB_ERR_OVER_LIMIT);
+	code = admit(node, request, &in);
+	if (code != GB_OK) {
+		refuse(node, request, code);
 		goto out;
 	}
 	in.number = nd_id(node);
-	in.service = index;
-	in.known_good = sus_state(node->suspects, clock.now, in.fingerprint) ==
-			SUS_GOOD;
+	service = nd_service_get(node, cfg_service(cfg, in.service));
 	query = qry_new(clock.now, cfg, &in, service->shared.policy, &query_ops,
 			node);
 	g_hash_table_insert(node->queries, &query->number, query);
--- a/packages/node/nd-warm.c
+++ b/packages/node/nd-warm.c
@@ -10,6 +10,9 @@
 			uint32_t replica);
 static void store(struct node *node, uint64_t upstream, uint64_t instance);
 static uint64_t find(const struct node *node, uint64_t upstream);
+static void forget_closed(void *ctx, const struct cfg *cfg,
+			  const struct cfg_service *service,
+			  const struct cfg_replica *replica);
 
 static uint64_t upstream_hash(struct gb_str service, struct gb_str replica)
 {
@@ -74,28 +77,21 @@
 	}
 }
 
-/* Forgets the upstreams that are closed: they return cold. */
-void nd_warm_follow(struct node *node)
+static void forget_closed(void *ctx, const struct cfg *cfg,
+			  const struct cfg_service *service,
+			  const struct cfg_replica *replica)
 {
-	const struct cfg *cfg = node->store.current;
-
-	for (guint i = 0; i < cfg->services->len; i++) {
-		const struct cfg_service *service = cfg_service(cfg, i);
-
-		for (guint k = 0; k < service->shards->len; k++) {
-			const struct cfg_shard *shard = cfg_shard(service, k);
+	struct node *node = ctx;
+	uint64_t hash = upstream_hash(service->name, replica->name);
 
-			for (guint r = 0; r < shard->replicas->len; r++) {
-				const struct cfg_replica *replica =
-					cfg_replica(shard, r);
-				uint64_t hash = upstream_hash(service->name,
-							      replica->name);
+	if (!cfg_replica_open(cfg, replica))
+		g_hash_table_remove(node->warm, &hash);
+}
 
-				if (!cfg_replica_open(cfg, replica))
-					g_hash_table_remove(node->warm, &hash);
-			}
-		}
-	}
+/* Forgets the upstreams that are closed: they return cold. */
+void nd_warm_follow(struct node *node)
+{
+	cfg_each_replica(node->store.current, forget_closed, node);
 }
 
 /* Sends a member that came what this VM knows. */
--- a/packages/once/tests/explore-test.c
+++ b/packages/once/tests/explore-test.c
@@ -62,15 +62,15 @@
 };
 
 static const struct fault faults[] = {
-	{ .name = { "none", 4 } },
-	{ .name = { "no-abstention", 13 }, .memory = -1000000 },
-	{ .name = { "one-skew", 8 }, .memory = -SKEW },
-	{ .name = { "at-adoption", 11 }, .at_adoption = true },
-	{ .name = { "skipped-epoch", 13 }, .skip = true },
-	{ .name = { "any-epoch", 9 }, .any_epoch = true },
-	{ .name = { "unsettled", 9 }, .unsettled = true },
-	{ .name = { "count-only", 10 }, .count_only = true },
-	{ .name = { "forget", 6 }, .forget = true },
+	{ .name = GB_STR_INIT("none") },
+	{ .name = GB_STR_INIT("no-abstention"), .memory = -1000000 },
+	{ .name = GB_STR_INIT("one-skew"), .memory = -SKEW },
+	{ .name = GB_STR_INIT("at-adoption"), .at_adoption = true },
+	{ .name = GB_STR_INIT("skipped-epoch"), .skip = true },
+	{ .name = GB_STR_INIT("any-epoch"), .any_epoch = true },
+	{ .name = GB_STR_INIT("unsettled"), .unsettled = true },
+	{ .name = GB_STR_INIT("count-only"), .count_only = true },
+	{ .name = GB_STR_INIT("forget"), .forget = true },
 };
 
 struct world {
@@ -462,7 +462,7 @@
 int main(int argc, char **argv)
 {
 	static const struct scr_command commands[] = {
-		{ .name = { "explore", 7 }, .run = cmd_explore },
+		{ .name = GB_STR_INIT("explore"), .run = cmd_explore },
 	};
 	const struct scr_suite suite = {
 		.name = "once-explore",
--- a/packages/once/tests/once-test.c
+++ b/packages/once/tests/once-test.c
@@ -214,16 +214,16 @@
 int main(int argc, char **argv)
 {
 	static const struct scr_command commands[] = {
-		{ .name = { "key", 3 }, .run = cmd_key },
-		{ .name = { "start", 5 }, .run = cmd_start },
-		{ .name = { "vote", 4 }, .run = cmd_vote },
-		{ .name = { "release", 7 }, .run = cmd_release },
-		{ .name = { "outcome", 7 }, .run = cmd_outcome },
-		{ .name = { "expire", 6 }, .run = cmd_expire },
-		{ .name = { "fill", 4 }, .run = cmd_fill },
-		{ .name = { "attempt", 7 }, .run = cmd_attempt },
-		{ .name = { "answers", 7 }, .run = cmd_answers },
-		{ .name = { "close", 5 }, .run = cmd_close },
+		{ .name = GB_STR_INIT("key"), .run = cmd_key },
+		{ .name = GB_STR_INIT("start"), .run = cmd_start },
+		{ .name = GB_STR_INIT("vote"), .run = cmd_vote },
+		{ .name = GB_STR_INIT("release"), .run = cmd_release },
+		{ .name = GB_STR_INIT("outcome"), .run = cmd_outcome },
+		{ .name = GB_STR_INIT("expire"), .run = cmd_expire },
+		{ .name = GB_STR_INIT("fill"), .run = cmd_fill },
+		{ .name = GB_STR_INIT("attempt"), .run = cmd_attempt },
+		{ .name = GB_STR_INIT("answers"), .run = cmd_answers },
+		{ .name = GB_STR_INIT("close"), .run = cmd_close },
 	};
 	const struct scr_suite suite = {
 		.name = "once",
--- a/packages/plan/pln-limit.c
+++ b/packages/plan/pln-limit.c
@@ -1,10 +1,5 @@
 #include "plan/pln-row.h"
 
-#define NAME(text)                                   \
-	{                                            \
-		.ptr = text, .len = sizeof(text) - 1 \
-	}
-
 /* A number of a service: a uint32_t, or a gb_time set in milliseconds. */
 struct limit_row {
 	struct gb_str name;
@@ -13,23 +8,23 @@
 };
 
 static const struct limit_row limits[] = {
-	{ .name = NAME("slots"),
+	{ .name = GB_STR_INIT("slots"),
 	  .offset = offsetof(struct cfg_service, limits.slots) },
-	{ .name = NAME("queue"),
+	{ .name = GB_STR_INIT("queue"),
 	  .offset = offsetof(struct cfg_service, limits.queue) },
-	{ .name = NAME("connections"),
+	{ .name = GB_STR_INIT("connections"),
 	  .offset = offsetof(struct cfg_service, limits.connections) },
-	{ .name = NAME("cold_slots"),
+	{ .name = GB_STR_INIT("cold_slots"),
 	  .offset = offsetof(struct cfg_service, limits.cold_slots) },
-	{ .name = NAME("ramp_ms"),
+	{ .name = GB_STR_INIT("ramp_ms"),
 	  .offset = offsetof(struct cfg_service, limits.ramp),
 	  .is_time = true },
-	{ .name = NAME("hedge_permille"),
+	{ .name = GB_STR_INIT("hedge_permille"),
 	  .offset = offsetof(struct cfg_service, hedge_permille) },
-	{ .name = NAME("deadline_ms"),
+	{ .name = GB_STR_INIT("deadline_ms"),
 	  .offset = offsetof(struct cfg_service, deadline),
 	  .is_time = true },
-	{ .name = NAME("priority"),
+	{ .name = GB_STR_INIT("priority"),
 	  .offset = offsetof(struct cfg_service, priority) },
 };
 
--- a/packages/plan/pln-row.c
+++ b/packages/plan/pln-row.c
@@ -1,36 +1,31 @@
 #include "plan/pln-row.h"
 
-#define NAME(text)                                   \
-	{                                            \
-		.ptr = text, .len = sizeof(text) - 1 \
-	}
-
 static const struct pln_row rows[PLN_KINDS] = {
-	[PLN_DC_OUT] = { .name = NAME("dc-out"),
+	[PLN_DC_OUT] = { .name = GB_STR_INIT("dc-out"),
 			 .needs = PLN_NEED_TARGET,
 			 .apply = pln_dc_out },
-	[PLN_DC_BACK] = { .name = NAME("dc-back"),
+	[PLN_DC_BACK] = { .name = GB_STR_INIT("dc-back"),
 			  .needs = PLN_NEED_TARGET,
 			  .apply = pln_dc_back },
-	[PLN_UPSTREAM_DRAIN] = { .name = NAME("upstream-drain"),
+	[PLN_UPSTREAM_DRAIN] = { .name = GB_STR_INIT("upstream-drain"),
 				 .needs = PLN_NEED_TARGET,
 				 .apply = pln_upstream_drain },
-	[PLN_UPSTREAM_RESTORE] = { .name = NAME("upstream-restore"),
+	[PLN_UPSTREAM_RESTORE] = { .name = GB_STR_INIT("upstream-restore"),
 				   .needs = PLN_NEED_TARGET,
 				   .apply = pln_upstream_restore },
-	[PLN_LIMIT_SET] = { .name = NAME("limit-set"),
+	[PLN_LIMIT_SET] = { .name = GB_STR_INIT("limit-set"),
 			    .needs = PLN_NEED_TARGET | PLN_NEED_FIELD,
 			    .apply = pln_limit_set },
-	[PLN_SERVICE_CREATE] = { .name = NAME("service-create"),
+	[PLN_SERVICE_CREATE] = { .name = GB_STR_INIT("service-create"),
 				 .needs = PLN_NEED_PART,
 				 .apply = pln_service_create },
-	[PLN_SNAPSHOT_PUBLISH] = { .name = NAME("snapshot-publish"),
+	[PLN_SNAPSHOT_PUBLISH] = { .name = GB_STR_INIT("snapshot-publish"),
 				   .needs = PLN_NEED_PART,
 				   .apply = pln_snapshot_publish },
-	[PLN_VM_ADD] = { .name = NAME("vm-add"),
+	[PLN_VM_ADD] = { .name = GB_STR_INIT("vm-add"),
 			 .needs = PLN_NEED_PART,
 			 .apply = pln_vm_add },
-	[PLN_VM_REMOVE] = { .name = NAME("vm-remove"),
+	[PLN_VM_REMOVE] = { .name = GB_STR_INIT("vm-remove"),
 			    .needs = PLN_NEED_TARGET,
 			    .apply = pln_vm_remove },
 };
--- a/packages/plan/tests/plan-test.c
+++ b/packages/plan/tests/plan-test.c
@@ -33,14 +33,14 @@
 		      struct gb_buf *out);
 
 static const struct scr_command commands[] = {
-	{ .name = { "dc", 2 }, .run = cmd_dc },
-	{ .name = { "vm", 2 }, .run = cmd_vm },
-	{ .name = { "service", 7 }, .run = cmd_service },
-	{ .name = { "snapshot", 8 }, .run = cmd_snapshot },
-	{ .name = { "make", 4 }, .run = cmd_make },
-	{ .name = { "apply", 5 }, .run = cmd_apply },
-	{ .name = { "show", 4 }, .run = cmd_show },
-	{ .name = { "names", 5 }, .run = cmd_names },
+	{ .name = GB_STR_INIT("dc"), .run = cmd_dc },
+	{ .name = GB_STR_INIT("vm"), .run = cmd_vm },
+	{ .name = GB_STR_INIT("service"), .run = cmd_service },
+	{ .name = GB_STR_INIT("snapshot"), .run = cmd_snapshot },
+	{ .name = GB_STR_INIT("make"), .run = cmd_make },
+	{ .name = GB_STR_INIT("apply"), .run = cmd_apply },
+	{ .name = GB_STR_INIT("show"), .run = cmd_show },
+	{ .name = GB_STR_INIT("names"), .run = cmd_names },
 };
 
 static void *open_ctx(void)
--- a/packages/policy/pol.c
+++ b/packages/policy/pol.c
@@ -22,14 +22,14 @@
 static double coverage_patience(double coverage);
 
 static const struct pol_ops latency = {
-	.name = { "latency", 7 },
+	.name = GB_STR_INIT("latency"),
 	.hedge_delay = latency_hedge_delay,
 	.retry = latency_retry,
 	.patience = latency_patience,
 };
 
 static const struct pol_ops coverage_first = {
-	.name = { "coverage", 8 },
+	.name = GB_STR_INIT("coverage"),
 	.hedge_delay = coverage_hedge_delay,
 	.retry = coverage_retry,
 	.patience = coverage_patience,
--- a/packages/policy/tests/policy-test.c
+++ b/packages/policy/tests/policy-test.c
@@ -87,10 +87,10 @@
 }
 
 static const struct scr_command commands[] = {
-	{ .name = { "times", 5 }, .run = cmd_times },
-	{ .name = { "ask", 3 }, .run = cmd_ask },
-	{ .name = { "budget", 6 }, .run = cmd_budget },
-	{ .name = { "policies", 8 }, .run = cmd_policies },
+	{ .name = GB_STR_INIT("times"), .run = cmd_times },
+	{ .name = GB_STR_INIT("ask"), .run = cmd_ask },
+	{ .name = GB_STR_INIT("budget"), .run = cmd_budget },
+	{ .name = GB_STR_INIT("policies"), .run = cmd_policies },
 };
 
 int main(int argc, char **argv)
--- a/packages/quorum/tests/explore-test.c
+++ b/packages/quorum/tests/explore-test.c
@@ -177,16 +177,16 @@
 }
 
 static const struct fault faults[] = {
-	{ .name = { "none", 4 } },
-	{ .name = { "no-silence", 10 }, .start = no_silence },
-	{ .name = { "no-margin", 9 }, .start = no_margin },
-	{ .name = { "same-sequences", 14 }, .start = same_sequences },
-	{ .name = { "take-late", 9 }, .heartbeat = take_late },
-	{ .name = { "inherit", 7 }, .heartbeat = inherit },
-	{ .name = { "short-grant", 11 }, .heartbeat = shorten_grant },
-	{ .name = { "from-receipt", 12 }, .reply = from_receipt },
-	{ .name = { "since-ever", 10 }, .reply = since_ever },
-	{ .name = { "unsettled", 9 }, .unsettled = true },
+	{ .name = GB_STR_INIT("none") },
+	{ .name = GB_STR_INIT("no-silence"), .start = no_silence },
+	{ .name = GB_STR_INIT("no-margin"), .start = no_margin },
+	{ .name = GB_STR_INIT("same-sequences"), .start = same_sequences },
+	{ .name = GB_STR_INIT("take-late"), .heartbeat = take_late },
+	{ .name = GB_STR_INIT("inherit"), .heartbeat = inherit },
+	{ .name = GB_STR_INIT("short-grant"), .heartbeat = shorten_grant },
+	{ .name = GB_STR_INIT("from-receipt"), .reply = from_receipt },
+	{ .name = GB_STR_INIT("since-ever"), .reply = since_ever },
+	{ .name = GB_STR_INIT("unsettled"), .unsettled = true },
 };
 
 static bool chance(struct world *world, uint32_t one_in)
@@ -515,7 +515,7 @@
 int main(int argc, char **argv)
 {
 	static const struct scr_command commands[] = {
-		{ .name = { "explore", 7 }, .run = cmd_explore },
+		{ .name = GB_STR_INIT("explore"), .run = cmd_explore },
 	};
 	const struct scr_suite suite = {
 		.name = "quorum-explore",
--- a/packages/quorum/tests/quorum-test.c
+++ b/packages/quorum/tests/quorum-test.c
@@ -245,17 +245,17 @@
 int main(int argc, char **argv)
 {
 	static const struct scr_command commands[] = {
-		{ .name = { "roster", 6 }, .run = cmd_roster },
-		{ .name = { "granter", 7 }, .run = cmd_granter },
-		{ .name = { "heartbeat", 9 }, .run = cmd_heartbeat },
-		{ .name = { "heard", 5 }, .run = cmd_heard },
-		{ .name = { "members", 7 }, .run = cmd_members },
-		{ .name = { "owner", 5 }, .run = cmd_owner },
-		{ .name = { "want", 4 }, .run = cmd_want },
-		{ .name = { "release", 7 }, .run = cmd_release },
-		{ .name = { "send", 4 }, .run = cmd_send },
-		{ .name = { "reply", 5 }, .run = cmd_reply },
-		{ .name = { "thresholds", 10 }, .run = cmd_thresholds },
+		{ .name = GB_STR_INIT("roster"), .run = cmd_roster },
+		{ .name = GB_STR_INIT("granter"), .run = cmd_granter },
+		{ .name = GB_STR_INIT("heartbeat"), .run = cmd_heartbeat },
+		{ .name = GB_STR_INIT("heard"), .run = cmd_heard },
+		{ .name = GB_STR_INIT("members"), .run = cmd_members },
+		{ .name = GB_STR_INIT("owner"), .run = cmd_owner },
+		{ .name = GB_STR_INIT("want"), .run = cmd_want },
+		{ .name = GB_STR_INIT("release"), .run = cmd_release },
+		{ .name = GB_STR_INIT("send"), .run = cmd_send },
+		{ .name = GB_STR_INIT("reply"), .run = cmd_reply },
+		{ .name = GB_STR_INIT("thresholds"), .run = cmd_thresholds },
 	};
 	const struct scr_suite suite = {
 		.name = "quorum",
--- a/packages/settings/tests/settings-test.c
+++ b/packages/settings/tests/settings-test.c
@@ -28,13 +28,13 @@
 		       struct gb_buf *out);
 
 static const struct scr_command commands[] = {
-	{ .name = { "line", 4 }, .run = cmd_line },
-	{ .name = { "byte", 4 }, .run = cmd_byte },
-	{ .name = { "basis", 5 }, .run = cmd_basis },
-	{ .name = { "read", 4 }, .run = cmd_read },
-	{ .name = { "file", 4 }, .run = cmd_file },
-	{ .name = { "help", 4 }, .run = cmd_help },
-	{ .name = { "manual", 6 }, .run = cmd_manual },
+	{ .name = GB_STR_INIT("line"), .run = cmd_line },
+	{ .name = GB_STR_INIT("byte"), .run = cmd_byte },
+	{ .name = GB_STR_INIT("basis"), .run = cmd_basis },
+	{ .name = GB_STR_INIT("read"), .run = cmd_read },
+	{ .name = GB_STR_INIT("file"), .run = cmd_file },
+	{ .name = GB_STR_INIT("help"), .run = cmd_help },
+	{ .name = GB_STR_INIT("manual"), .run = cmd_manual },
 };
 
 static void *open_ctx(void)
--- a/packages/shard/tests/shard-test.c
+++ b/packages/shard/tests/shard-test.c
@@ -340,18 +340,18 @@
 }
 
 static const struct scr_command commands[] = {
-	{ .name = { "service", 7 }, .run = cmd_service },
-	{ .name = { "submit", 6 }, .run = cmd_submit },
-	{ .name = { "answer", 6 }, .run = cmd_answer },
-	{ .name = { "run", 3 }, .run = cmd_run },
-	{ .name = { "lease", 5 }, .run = cmd_lease },
-	{ .name = { "cancel", 6 }, .run = cmd_cancel },
-	{ .name = { "close", 5 }, .run = cmd_close },
-	{ .name = { "warm", 4 }, .run = cmd_warm },
-	{ .name = { "fill", 4 }, .run = cmd_fill },
-	{ .name = { "state", 5 }, .run = cmd_state },
-	{ .name = { "metrics", 7 }, .run = cmd_metrics },
-	{ .name = { "random", 6 }, .run = cmd_random },
+	{ .name = GB_STR_INIT("service"), .run = cmd_service },
+	{ .name = GB_STR_INIT("submit"), .run = cmd_submit },
+	{ .name = GB_STR_INIT("answer"), .run = cmd_answer },
+	{ .name = GB_STR_INIT("run"), .run = cmd_run },
+	{ .name = GB_STR_INIT("lease"), .run = cmd_lease },
+	{ .name = GB_STR_INIT("cancel"), .run = cmd_cancel },
+	{ .name = GB_STR_INIT("close"), .run = cmd_close },
+	{ .name = GB_STR_INIT("warm"), .run = cmd_warm },
+	{ .name = GB_STR_INIT("fill"), .run = cmd_fill },
+	{ .name = GB_STR_INIT("state"), .run = cmd_state },
+	{ .name = GB_STR_INIT("metrics"), .run = cmd_metrics },
+	{ .name = GB_STR_INIT("random"), .run = cmd_random },
 };
 
 int main(int argc, char **argv)
--- a/packages/suspect/tests/suspect-test.c
+++ b/packages/suspect/tests/suspect-test.c
@@ -62,8 +62,8 @@
 }
 
 static const struct scr_command commands[] = {
-	{ .name = { "table", 5 }, .run = cmd_table },
-	{ .name = { "run", 3 }, .run = cmd_run },
+	{ .name = GB_STR_INIT("table"), .run = cmd_table },
+	{ .name = GB_STR_INIT("run"), .run = cmd_run },
 };
 
 int main(int argc, char **argv)
--- a/packages/upstream/tests/upstream-test.c
+++ b/packages/upstream/tests/upstream-test.c
@@ -68,10 +68,10 @@
 }
 
 static const struct scr_command commands[] = {
-	{ .name = { "init", 4 }, .run = cmd_init },
-	{ .name = { "done", 4 }, .run = cmd_done },
-	{ .name = { "known", 5 }, .run = cmd_known },
-	{ .name = { "score", 5 }, .run = cmd_score },
+	{ .name = GB_STR_INIT("init"), .run = cmd_init },
+	{ .name = GB_STR_INIT("done"), .run = cmd_done },
+	{ .name = GB_STR_INIT("known"), .run = cmd_known },
+	{ .name = GB_STR_INIT("score"), .run = cmd_score },
 };
 
 int main(int argc, char **argv)
--- a/packages/wire/tests/wire-test.c
+++ b/packages/wire/tests/wire-test.c
@@ -106,12 +106,12 @@
 		       struct gb_buf *out);
 
 static const struct scr_command commands[] = {
-	{ .name = { "round", 5 }, .run = cmd_round },
-	{ .name = { "truncate", 8 }, .run = cmd_truncate },
-	{ .name = { "mutate", 6 }, .run = cmd_mutate },
-	{ .name = { "fragments", 9 }, .run = cmd_fragments },
-	{ .name = { "hex", 3 }, .run = cmd_hex },
-	{ .name = { "limits", 6 }, .run = cmd_limits },
+	{ .name = GB_STR_INIT("round"), .run = cmd_round },
+	{ .name = GB_STR_INIT("truncate"), .run = cmd_truncate },
+	{ .name = GB_STR_INIT("mutate"), .run = cmd_mutate },
+	{ .name = GB_STR_INIT("fragments"), .run = cmd_fragments },
+	{ .name = GB_STR_INIT("hex"), .run = cmd_hex },
+	{ .name = GB_STR_INIT("limits"), .run = cmd_limits },
 };
 
 static void *open_ctx(void)
