--- a/packages/config/cfg-build.c
+++ b/packages/config/cfg-build.c
@@ -250,6 +250,14 @@
 	to->deadline = from->deadline;
 	to->canary = from->canary;
 	to->limits = from->limits;
+	cfg_set_partition(to, from);
+	return to;
+}
+
+void cfg_set_partition(struct cfg_service *to, const struct cfg_service *from)
+{
+	g_array_set_size(to->shards, 0);
+	g_array_set_size(to->snapshots, 0);
 	copy_shards(to, from);
 	for (guint i = 0; i < from->snapshots->len; i++) {
 		const struct cfg_snapshot *s =
@@ -258,7 +266,6 @@
 
 		g_array_append_vals(copy->docs, s->docs->data, s->docs->len);
 	}
-	return to;
 }
 
 struct cfg *cfg_copy(const struct cfg *cfg)
--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -114,6 +114,8 @@
 				    struct gb_str host);
 struct cfg_snapshot *cfg_add_snapshot(struct cfg_service *service, uint64_t id);
 void cfg_set_policy(struct cfg_service *service, struct gb_str policy);
+/* Takes over the shards and snapshots of another service. */
+void cfg_set_partition(struct cfg_service *to, const struct cfg_service *from);
 void cfg_remove_vm(struct cfg *cfg, uint32_t index);
 
 /* Removes the oldest snapshots so that at most keep are left. */
--- a/packages/ctl/ctl-plan.c
+++ b/packages/ctl/ctl-plan.c
@@ -14,6 +14,8 @@
 
 static int fill_target(const struct ctl_line *line, struct pln_intent *intent,
 		       struct gb_error *err);
+static int fill_region(const struct ctl_line *line, struct pln_intent *intent,
+		       struct gb_error *err);
 static int fill_limit(const struct ctl_line *line, struct pln_intent *intent,
 		      struct gb_error *err);
 static int fill_part(const struct ctl_line *line, struct pln_intent *intent,
@@ -25,6 +27,10 @@
 static int send(const struct ctl_line *line, const struct pln_intent *intent);
 
 static const struct form forms[] = {
+	{ .kind = PLN_DC_CREATE,
+	  .usage = GB_STR_INIT("DC REGION"),
+	  .words = 2,
+	  .fill = fill_region },
 	{ .kind = PLN_DC_OUT,
 	  .usage = GB_STR_INIT("DC"),
 	  .words = 1,
@@ -49,6 +55,10 @@
 	  .usage = GB_STR_INIT("FILE.json"),
 	  .words = 1,
 	  .fill = fill_part },
+	{ .kind = PLN_SERVICE_REPARTITION,
+	  .usage = GB_STR_INIT("FILE.json"),
+	  .words = 1,
+	  .fill = fill_part },
 	{ .kind = PLN_SNAPSHOT_PUBLISH,
 	  .usage = GB_STR_INIT("FILE.json"),
 	  .words = 1,
@@ -71,6 +81,15 @@
 	return 0;
 }
 
+static int fill_region(const struct ctl_line *line, struct pln_intent *intent,
+		       struct gb_error *err)
+{
+	(void)err;
+	intent->target = ctl_word(line, 1);
+	intent->field = ctl_word(line, 2);
+	return 0;
+}
+
 static int fill_limit(const struct ctl_line *line, struct pln_intent *intent,
 		      struct gb_error *err)
 {
--- a/packages/node/nd-config.c
+++ b/packages/node/nd-config.c
@@ -81,6 +81,7 @@
 	nd_warm_follow(node);
 	nd_member_follow(node);
 	nd_owner_follow(node);
+	nd_query_follow(node);
 }
 
 /* Fetches from a peer that has a higher version. */
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -210,6 +210,7 @@
 
 /* nd-query.c */
 void nd_query_tick(struct node *node);
+void nd_query_follow(struct node *node);
 void nd_query_vm_lost(struct node *node, uint32_t vm);
 void nd_query_reap(struct node *node);
 void nd_query_leave(struct node *node, struct qry_query *query,
--- a/packages/node/nd-query.c
+++ b/packages/node/nd-query.c
@@ -333,6 +333,16 @@
 	}
 }
 
+void nd_query_follow(struct node *node)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->queries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		qry_follow(value, node->clock.now, node->store.current);
+}
+
 void nd_query_vm_lost(struct node *node, uint32_t vm)
 {
 	GHashTableIter iter;
--- a/packages/plan/pln-dc.c
+++ b/packages/plan/pln-dc.c
@@ -15,6 +15,21 @@
 	return &g_array_index(next->dcs, struct cfg_dc, index);
 }
 
+/* A new data centre has no VMs and replicas yet. */
+int pln_dc_create(struct cfg *next, const struct pln_intent *intent,
+		  int64_t wall_ms, struct gb_error *err)
+{
+	struct cfg_dc *dc;
+
+	(void)wall_ms;
+	if (cfg_find_dc(next, intent->target) >= 0)
+		return gb_fail(err, GB_ERR_DUPLICATE, intent->target, 0);
+	dc = cfg_add_dc(next, intent->target);
+	gb_str_free(&dc->region);
+	dc->region = gb_str_dup(intent->field);
+	return 0;
+}
+
 int pln_dc_out(struct cfg *next, const struct pln_intent *intent,
 	       int64_t wall_ms, struct gb_error *err)
 {
--- a/packages/plan/pln-row.c
+++ b/packages/plan/pln-row.c
@@ -1,6 +1,9 @@
 #include "plan/pln-row.h"
 
 static const struct pln_row rows[PLN_KINDS] = {
+	[PLN_DC_CREATE] = { .name = GB_STR_INIT("dc-create"),
+			    .needs = PLN_NEED_TARGET | PLN_NEED_FIELD,
+			    .apply = pln_dc_create },
 	[PLN_DC_OUT] = { .name = GB_STR_INIT("dc-out"),
 			 .needs = PLN_NEED_TARGET,
 			 .apply = pln_dc_out },
@@ -19,6 +22,10 @@
 	[PLN_SERVICE_CREATE] = { .name = GB_STR_INIT("service-create"),
 				 .needs = PLN_NEED_PART,
 				 .apply = pln_service_create },
+	[PLN_SERVICE_REPARTITION] = { .name = GB_STR_INIT(
+					      "service-repartition"),
+				      .needs = PLN_NEED_PART,
+				      .apply = pln_service_repartition },
 	[PLN_SNAPSHOT_PUBLISH] = { .name = GB_STR_INIT("snapshot-publish"),
 				   .needs = PLN_NEED_PART,
 				   .apply = pln_snapshot_publish },
--- a/packages/plan/pln-row.h
+++ b/packages/plan/pln-row.h
@@ -22,6 +22,8 @@
 const struct pln_row *pln_row(enum pln_kind kind);
 
 /* Applying functions: each changes next and refuses a change without effect. */
+int pln_dc_create(struct cfg *next, const struct pln_intent *intent,
+		  int64_t wall_ms, struct gb_error *err);
 int pln_dc_out(struct cfg *next, const struct pln_intent *intent,
 	       int64_t wall_ms, struct gb_error *err);
 int pln_dc_back(struct cfg *next, const struct pln_intent *intent,
@@ -34,6 +36,8 @@
 		  int64_t wall_ms, struct gb_error *err);
 int pln_service_create(struct cfg *next, const struct pln_intent *intent,
 		       int64_t wall_ms, struct gb_error *err);
+int pln_service_repartition(struct cfg *next, const struct pln_intent *intent,
+			    int64_t wall_ms, struct gb_error *err);
 int pln_snapshot_publish(struct cfg *next, const struct pln_intent *intent,
 			 int64_t wall_ms, struct gb_error *err);
 int pln_vm_add(struct cfg *next, const struct pln_intent *intent,
--- a/packages/plan/pln.h
+++ b/packages/plan/pln.h
@@ -19,12 +19,14 @@
 #include "config/cfg.h"
 
 enum pln_kind {
+	PLN_DC_CREATE,
 	PLN_DC_OUT,
 	PLN_DC_BACK,
 	PLN_UPSTREAM_DRAIN,
 	PLN_UPSTREAM_RESTORE,
 	PLN_LIMIT_SET,
 	PLN_SERVICE_CREATE,
+	PLN_SERVICE_REPARTITION,
 	PLN_SNAPSHOT_PUBLISH,
 	PLN_VM_ADD,
 	PLN_VM_REMOVE,
@@ -35,9 +37,10 @@
 struct pln_intent {
 	enum pln_kind kind;
 	struct gb_str target; /* data centre, upstream, service or VM */
-	struct gb_str field; /* LIMIT_SET: name of the limit */
+	struct gb_str
+		field; /* LIMIT_SET: name of the limit; DC_CREATE: region */
 	uint64_t value; /* LIMIT_SET: new value; VM_ADD: VM id */
-	struct cfg *part; /* SERVICE_CREATE, SNAPSHOT_PUBLISH, VM_ADD: new
+	struct cfg *part; /* SERVICE_*, SNAPSHOT_PUBLISH, VM_ADD: new
 			     elements; borrowed */
 };
 
--- a/packages/query/qry-query.c
+++ b/packages/query/qry-query.c
@@ -272,9 +272,12 @@
 		return;
 	case MSG_STATUS_SNAPSHOT_GONE:
 		shard->may_have_run = true;
-		if (!start_over(query, now, current))
+		shard->why = QRY_DEGRADED_SNAPSHOT;
+		if (query->restarted)
 			settle(query, result->shard, QRY_SHARD_LOST,
 			       QRY_DEGRADED_SNAPSHOT);
+		else if (!start_over(query, now, current))
+			shard->state = QRY_SHARD_GONE;
 		return;
 	default:
 		shard->may_have_run = true;
@@ -320,6 +323,19 @@
 	schedule(query, now);
 }
 
+void qry_follow(struct qry_query *query, gb_time now, struct cfg *current)
+{
+	for (uint32_t i = 0; !query->ended && i < query->shards_len; i++) {
+		if (query->shards[i].state != QRY_SHARD_GONE)
+			continue;
+		if (start_over(query, now, current)) {
+			send_due(query, now);
+			schedule(query, now);
+		}
+		return;
+	}
+}
+
 void qry_vm_lost(struct qry_query *query, gb_time now, uint32_t vm)
 {
 	for (uint32_t i = 0; i < query->shards_len; i++) {
--- a/packages/query/qry.h
+++ b/packages/query/qry.h
@@ -11,8 +11,9 @@
  *	and the other shards after the canary succeeded. A shard whose owner
  *	says that it did not run the sub-request is sent again after a short
  *	pause. A shard that lost the snapshot makes the query start over, once,
- *	on a newer snapshot if there is one; shards that answered for the old
- *	snapshot are then asked again, so that snapshots never mix.
+ *	on a newer snapshot, as soon as its configuration is known; shards that
+ *	answered for the old snapshot are then asked again, so that snapshots
+ *	never mix.
  *
  *	Coverage is the sum of the documents that shards searched, each shard
  *	once, over the documents of the pinned snapshot. An answer whose
@@ -39,6 +40,7 @@
 	QRY_SHARD_IDLE, /* waits for the canary */
 	QRY_SHARD_DUE, /* to be sent at due */
 	QRY_SHARD_SENT,
+	QRY_SHARD_GONE, /* has the snapshot no longer; waits for a newer one */
 	QRY_SHARD_OK,
 	QRY_SHARD_LOST /* given up; why says the reason */
 };
@@ -127,6 +129,9 @@
 void qry_result(struct qry_query *query, gb_time now, struct cfg *current,
 		const struct msg_sub_result *result);
 
+/* Follows a new configuration if a shard waits for a newer snapshot. */
+void qry_follow(struct qry_query *query, gb_time now, struct cfg *current);
+
 /* Sends again what was sent to a VM that is dead. */
 void qry_vm_lost(struct qry_query *query, gb_time now, uint32_t vm);
 void qry_tick(struct qry_query *query, gb_time now);
--- a/tests/scenario/scn-platform.c
+++ b/tests/scenario/scn-platform.c
@@ -169,6 +169,7 @@
 
 	cfg_unref(platform->object);
 	platform->object = cfg_ref(cfg);
+	g_ptr_array_add(platform->history, cfg_ref(cfg));
 	scn_fact(world, &fact);
 	for (guint i = platform->watches->len; i-- > 0;) {
 		struct store_call *call =
@@ -217,8 +218,27 @@
 	call_platform(call, do_write);
 }
 
+const struct cfg_snapshot *scn_snapshot(const struct scn_world *world,
+					struct gb_str service, uint64_t id)
+{
+	const GPtrArray *history = world->platform.history;
+
+	for (guint i = history->len; i-- > 0;) {
+		const struct cfg *cfg = history->pdata[i];
+		int index = cfg_find_service(cfg, service);
+		const struct cfg_snapshot *snapshot = NULL;
+
+		if (index >= 0)
+			snapshot = cfg_snapshot(cfg_service(cfg, index), id);
+		if (snapshot)
+			return snapshot;
+	}
+	return NULL;
+}
+
 void scn_platform_free(struct scn_platform *platform)
 {
+	g_ptr_array_free(platform->history, TRUE);
 	g_ptr_array_free(platform->watches, TRUE);
 	cfg_unref(platform->object);
 }
--- a/tests/scenario/scn-world.c
+++ b/tests/scenario/scn-world.c
@@ -35,6 +35,8 @@
 	world->upstream_by_name =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->platform.watches = g_ptr_array_new();
+	world->platform.history =
+		g_ptr_array_new_with_free_func((GDestroyNotify)cfg_unref);
 	world->requests = g_ptr_array_new_with_free_func(scn_request_free);
 	world->loads = g_ptr_array_new_with_free_func(scn_load_free);
 	world->checks = scn_checks_new();
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -131,6 +131,7 @@
 /* PLATFORM */
 struct scn_platform {
 	struct cfg *object;
+	GPtrArray *history; /* all that were accepted, oldest first */
 	bool down;
 	gb_time slow;
 	uint32_t lose_writes; /* writes whose answers get lost */
@@ -350,6 +351,10 @@
 void scn_platform_write(struct scn_vm *vm, uint64_t tag, const struct cfg *cfg,
 			uint64_t base);
 void scn_platform_put(struct scn_world *world, struct cfg *cfg);
+
+/* A snapshot that was published at some time; NULL if none was. */
+const struct cfg_snapshot *scn_snapshot(const struct scn_world *world,
+					struct gb_str service, uint64_t id);
 void scn_platform_free(struct scn_platform *platform);
 
 /* scn-mutate.c */
