Tell a shard without any upstream from an overloaded one

Cause: sub-requests to a shard whose upstreams were all down were refused as overload. The answer named the wrong reason for the missing documents, and the entry VMs cut the admission of the whole service. Change: status UNAVAILABLE for a shard of which no upstream takes work.

--- a/packages/node/nd-order.c
+++ b/packages/node/nd-order.c
@@ -356,6 +356,9 @@
 	case MSG_STATUS_OVERLOAD:
 		not_run(node, order, GB_ERR_OVER_LIMIT);
 		break;
+	case MSG_STATUS_UNAVAILABLE:
+		not_run(node, order, GB_ERR_NOT_RUN);
+		break;
 	case MSG_STATUS_QUARANTINED:
 		not_run(node, order, GB_ERR_QUARANTINED);
 		break;
--- a/packages/query/qry-query.c
+++ b/packages/query/qry-query.c
@@ -265,6 +265,10 @@
 		settle(query, result->shard, QRY_SHARD_LOST,
 		       QRY_DEGRADED_OVERLOAD);
 		return;
+	case MSG_STATUS_UNAVAILABLE:
+		settle(query, result->shard, QRY_SHARD_LOST,
+		       QRY_DEGRADED_UNAVAILABLE);
+		return;
 	case MSG_STATUS_DEADLINE:
 		shard->may_have_run = true;
 		settle(query, result->shard, QRY_SHARD_LOST,
--- a/packages/shard/shd-entry.c
+++ b/packages/shard/shd-entry.c
@@ -75,7 +75,7 @@
 	if (!entry->may_have_run && !entry->calls_len)
 		return status;
 	if (status == MSG_STATUS_NOT_RUN || status == MSG_STATUS_NOT_OWNER ||
-	    status == MSG_STATUS_OVERLOAD)
+	    status == MSG_STATUS_OVERLOAD || status == MSG_STATUS_UNAVAILABLE)
 		return MSG_STATUS_UNKNOWN;
 	return status;
 }
--- a/packages/shard/shd-internal.h
+++ b/packages/shard/shd-internal.h
@@ -149,6 +149,7 @@
 void shd_unlink(struct shd_shard *shard, struct shd_entry *entry);
 bool shd_meets_deadline(const struct shd_shard *shard,
 			const struct shd_entry *entry);
+enum msg_status shd_late_status(const struct shd_shard *shard);
 void shd_flush(struct shd_shard *shard, enum msg_status status);
 size_t shd_waiting(const struct shd_shard *shard);
 
--- a/packages/shard/shd-place.c
+++ b/packages/shard/shd-place.c
@@ -130,7 +130,7 @@
 		return start_alone(shard);
 	}
 	if (!shd_meets_deadline(shard, entry)) {
-		shd_finish(shard, entry, MSG_STATUS_OVERLOAD, NULL);
+		shd_finish(shard, entry, shd_late_status(shard), NULL);
 		return true;
 	}
 	replica = best(shard, entry->avoid | entry->gone);
--- a/packages/shard/shd-queue.c
+++ b/packages/shard/shd-queue.c
@@ -61,6 +61,15 @@
 	       (double)entry->req.deadline;
 }
 
+/*
+ * The reason for which an entry cannot end in time. Without any upstream that
+ * takes work it is not load: the service's other shards need no less of it.
+ */
+enum msg_status shd_late_status(const struct shd_shard *shard)
+{
+	return shd_usable(shard) ? MSG_STATUS_OVERLOAD : MSG_STATUS_UNAVAILABLE;
+}
+
 /* Expected wait of a new entry at the end of the queue. */
 static double expected_wait(const struct shd_shard *shard)
 {
@@ -99,7 +108,7 @@
 	if ((shard->running || !shd_usable(shard)) &&
 	    (double)shard->now + expected_wait(shard) + shard->time_mean >
 		    (double)req->deadline)
-		return MSG_STATUS_OVERLOAD;
+		return shd_late_status(shard);
 	return MSG_STATUS_OK;
 }
 
--- a/packages/shard/shd-timer.c
+++ b/packages/shard/shd-timer.c
@@ -142,7 +142,7 @@
 		shd_enqueue(entry, shard, entry->class, true);
 	} else if (entry->state == SHD_QUEUED &&
 		   !shd_meets_deadline(shard, entry)) {
-		shd_finish(shard, entry, MSG_STATUS_OVERLOAD, NULL);
+		shd_finish(shard, entry, shd_late_status(shard), NULL);
 		return;
 	}
 	shd_arm(shard, entry);
--- a/packages/shard/tests/shard-test.c
+++ b/packages/shard/tests/shard-test.c
@@ -1,8 +1,8 @@
 #include "shard-random.h"
 
 static const char *const results[MSG_STATUSES] = {
-	"ok",	    "not_run", "not_owner",   "overload", "unknown",
-	"deadline", "gone",    "quarantined", "failed",
+	"ok",	   "not_run",  "not_owner", "overload",	   "unavailable",
+	"unknown", "deadline", "gone",	    "quarantined", "failed",
 };
 
 static const char *const answers[] = {
