--- a/packages/ctl/ctl-plan.c
+++ b/packages/ctl/ctl-plan.c
@@ -3,11 +3,6 @@
 #include "json/js.h"
 #include "json/js-part.h"
 
-#define TEXT(lit)                                    \
-	{                                            \
-		.ptr = (lit), .len = sizeof(lit) - 1 \
-	}
-
 /* How the words after the name of an intent are read. */
 struct form {
 	enum pln_kind kind;
@@ -19,6 +14,8 @@
 
 static int fill_target(const struct ctl_line *line, struct pln_intent *intent,
 		       struct gb_error *err);
+static int fill_region(const struct ctl_line *line, struct pln_intent *intent,
+		       struct gb_error *err);
 static int fill_limit(const struct ctl_line *line, struct pln_intent *intent,
 		      struct gb_error *err);
 static int fill_part(const struct ctl_line *line, struct pln_intent *intent,
@@ -30,40 +27,48 @@
 static int send(const struct ctl_line *line, const struct pln_intent *intent);
 
 static const struct form forms[] = {
+	{ .kind = PLN_DC_CREATE,
+	  .usage = GB_STR_INIT("DC REGION"),
+	  .words = 2,
+	  .fill = fill_region },
 	{ .kind = PLN_DC_OUT,
-	  .usage = TEXT("DC"),
+	  .usage = GB_STR_INIT("DC"),
 	  .words = 1,
 	  .fill = fill_target },
 	{ .kind = PLN_DC_BACK,
-	  .usage = TEXT("DC"),
+	  .usage = GB_STR_INIT("DC"),
 	  .words = 1,
 	  .fill = fill_target },
 	{ .kind = PLN_UPSTREAM_DRAIN,
-	  .usage = TEXT("SERVICE/REPLICA"),
+	  .usage = GB_STR_INIT("SERVICE/REPLICA"),
 	  .words = 1,
 	  .fill = fill_target },
 	{ .kind = PLN_UPSTREAM_RESTORE,
-	  .usage = TEXT("SERVICE/REPLICA"),
+	  .usage = GB_STR_INIT("SERVICE/REPLICA"),
 	  .words = 1,
 	  .fill = fill_target },
 	{ .kind = PLN_LIMIT_SET,
-	  .usage = TEXT("SERVICE FIELD VALUE"),
+	  .usage = GB_STR_INIT("SERVICE FIELD VALUE"),
 	  .words = 3,
 	  .fill = fill_limit },
 	{ .kind = PLN_SERVICE_CREATE,
-	  .usage = TEXT("FILE.json"),
+	  .usage = GB_STR_INIT("FILE.json"),
+	  .words = 1,
+	  .fill = fill_part },
+	{ .kind = PLN_SERVICE_REPARTITION,
+	  .usage = GB_STR_INIT("FILE.json"),
 	  .words = 1,
 	  .fill = fill_part },
 	{ .kind = PLN_SNAPSHOT_PUBLISH,
-	  .usage = TEXT("FILE.json"),
+	  .usage = GB_STR_INIT("FILE.json"),
 	  .words = 1,
 	  .fill = fill_part },
 	{ .kind = PLN_VM_ADD,
-	  .usage = TEXT("FILE.json"),
+	  .usage = GB_STR_INIT("FILE.json"),
 	  .words = 1,
 	  .fill = fill_part },
 	{ .kind = PLN_VM_REMOVE,
-	  .usage = TEXT("NAME"),
+	  .usage = GB_STR_INIT("NAME"),
 	  .words = 1,
 	  .fill = fill_target },
 };
@@ -76,6 +81,15 @@
 	return 0;
 }
 
+static int fill_region(const struct ctl_line *line, struct pln_intent *intent,
+		       struct gb_error *err)
+{
+	(void)err;
+	intent->target = ctl_word(line, 1);
+	intent->field = ctl_word(line, 2);
+	return 0;
+}
+
 static int fill_limit(const struct ctl_line *line, struct pln_intent *intent,
 		      struct gb_error *err)
 {
--- a/packages/event/ev-table.c
+++ b/packages/event/ev-table.c
@@ -1,13 +1,10 @@
 #include "event/ev.h"
 
-#define TEXT(lit)                                    \
-	{                                            \
-		.ptr = (lit), .len = sizeof(lit) - 1 \
-	}
-#define ROW(c, s, n, m, x, y)                                   \
-	{                                                       \
-		.code = (c), .severity = (s), .name = TEXT(n),  \
-		.meaning = TEXT(m), .a = TEXT(x), .b = TEXT(y), \
+#define ROW(c, s, n, m, x, y)                                         \
+	{                                                             \
+		.code = (c), .severity = (s), .name = GB_STR_INIT(n), \
+		.meaning = GB_STR_INIT(m), .a = GB_STR_INIT(x),       \
+		.b = GB_STR_INIT(y),                                  \
 	}
 
 /* Ordered by number. */
@@ -54,6 +51,12 @@
 	    "units_held"),
 	ROW(EV_EPOCH_ACTIVE, EV_NOTICE, "epoch_active",
 	    "A roster epoch is in force on this VM.", "epoch", ""),
+	ROW(EV_MEMBER_ADDED, EV_NOTICE, "member_added",
+	    "This VM writes a roster with a VM that asked to join.", "member",
+	    ""),
+	ROW(EV_MEMBER_REMOVED, EV_WARNING, "member_removed",
+	    "This VM writes a roster without a VM that was silent too long.",
+	    "member", ""),
 	ROW(EV_UPSTREAM_COLD, EV_NOTICE, "upstream_cold",
 	    "An upstream was put at its cold limit.", "shard", ""),
 	ROW(EV_UPSTREAM_WARM, EV_INFO, "upstream_warm",
@@ -121,9 +124,6 @@
 	ROW(EV_PEER_BAD_MESSAGE, EV_WARNING, "peer_bad_message",
 	    "A message from another VM could not be decoded; its connection was closed.",
 	    "peer", "error"),
-	ROW(EV_SETTINGS_BAD, EV_ERROR, "settings_bad",
-	    "The settings file has problems; the process ends.", "problems",
-	    ""),
 	ROW(EV_HTTP_BAD_REQUEST, EV_INFO, "http_bad_request",
 	    "An HTTP request was malformed.", "status", "error"),
 };
--- a/packages/json/js-config-decode.c
+++ b/packages/json/js-config-decode.c
@@ -13,6 +13,7 @@
 	json_t *dcs;
 	json_t *vms;
 	json_t *services;
+	json_t *excluded;
 	json_t *changes;
 };
 
@@ -59,7 +60,7 @@
 
 #define FIELD(form, member, k, reader, lo, hi, n)                              \
 	{                                                                      \
-		.key = JS_NAME(k), .read = reader,                             \
+		.key = GB_STR_INIT(k), .read = reader,                         \
 		.offset = offsetof(struct form, member), .min = lo, .max = hi, \
 		.need = n                                                      \
 	}
@@ -69,6 +70,8 @@
 	FIELD(config_form, dcs, "dcs", js_read_array, 0, 0, JS_FULL),
 	FIELD(config_form, vms, "vms", js_read_array, 0, 0, JS_FULL),
 	FIELD(config_form, services, "services", js_read_array, 0, 0, JS_FULL),
+	FIELD(config_form, excluded, "excluded", js_read_array, 0, 0,
+	      JS_OPTIONAL),
 	FIELD(config_form, changes, "changes", js_read_array, 0, 0,
 	      JS_OPTIONAL),
 };
@@ -123,7 +126,7 @@
 };
 
 static const struct js_field shard_fields[] = {
-	{ .key = JS_NAME("replicas"),
+	{ .key = GB_STR_INIT("replicas"),
 	  .read = js_read_array,
 	  .need = JS_REQUIRED },
 };
@@ -146,7 +149,7 @@
 };
 
 static const struct js_field docs_field = {
-	.key = JS_NAME("docs"),
+	.key = GB_STR_INIT("docs"),
 	.max = INT64_MAX / CFG_SHARDS_MAX, /* the sum stays in range */
 };
 
@@ -310,9 +313,22 @@
 	return 0;
 }
 
+static int read_excluded(struct decoder *d, json_t *json)
+{
+	struct js_field field = { .key = GB_STR_INIT("excluded"),
+				  .min = 1,
+				  .max = UINT32_MAX };
+	uint32_t id;
+
+	if (js_read_u32(&field, json, &id, d->err))
+		return -1;
+	cfg_exclude_vm(d->cfg, id);
+	return 0;
+}
+
 static int read_change(struct decoder *d, json_t *json)
 {
-	struct js_field field = { .key = JS_NAME("changes") };
+	struct js_field field = { .key = GB_STR_INIT("changes") };
 	uint64_t change;
 
 	if (js_read_hex(&field, json, &change, d->err))
@@ -335,6 +351,7 @@
 	if (read_each(d, form.dcs, read_dc) ||
 	    read_each(d, form.vms, read_vm) ||
 	    read_each(d, form.services, read_service) ||
+	    read_each(d, form.excluded, read_excluded) ||
 	    read_each(d, form.changes, read_change))
 		return -1;
 	return d->partial ? 0 : cfg_check(d->cfg, d->err);
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -108,6 +108,8 @@
 	uint64_t granter_epoch; /* last epoch in which this VM was a granter */
 	struct sus_table *suspects;
 
+	gb_time started;
+	gb_time roster_at; /* next look at the roster */
 	int self; /* roster index; -1 when not in the roster */
 	gb_time heartbeat_at;
 	gb_time hurry_until; /* heartbeats go faster until then */
@@ -179,13 +181,24 @@
 void nd_owner_leases(struct node *node);
 bool nd_owner_unit_idle(const struct node *node, uint32_t unit);
 uint32_t nd_owner_running(const struct node *node);
-void nd_owner_flush(struct node *node);
 void nd_owner_free(struct node *node);
-void nd_on_batch(struct node *node, const struct msg *msg);
-void nd_on_cancel(struct node *node, const struct msg *msg);
-void nd_on_quarantine(struct node *node, const struct msg *msg);
+struct nd_shard *nd_shard_get(struct node *node, int service, uint32_t index);
 struct nd_service *nd_service_get(struct node *node,
 				  const struct cfg_service *cfg);
+void nd_on_quarantine(struct node *node, const struct msg *msg);
+
+/* nd-work.c */
+struct nd_work *nd_work_find(struct node *node, uint64_t query);
+void nd_work_add(struct node *node, struct nd_work *work,
+		 const struct msg_sub_result *result);
+void nd_work_flush(struct node *node);
+void nd_work_free_all(struct node *node);
+void nd_on_batch(struct node *node, const struct msg *msg);
+void nd_on_cancel(struct node *node, const struct msg *msg);
+
+/* nd-seen.c */
+bool nd_seen_is_new(struct node *node, const struct msg *msg, uint64_t attempt);
+void nd_seen_tick(struct node *node);
 
 /* nd-warm.c */
 void nd_warm_note(struct node *node, struct nd_shard *entry, uint32_t replica,
@@ -197,6 +210,7 @@
 
 /* nd-query.c */
 void nd_query_tick(struct node *node);
+void nd_query_follow(struct node *node);
 void nd_query_vm_lost(struct node *node, uint32_t vm);
 void nd_query_reap(struct node *node);
 void nd_query_leave(struct node *node, struct qry_query *query,
@@ -216,7 +230,13 @@
 void nd_on_release(struct node *node, const struct msg *msg);
 void nd_on_outcome(struct node *node, const struct msg *msg);
 
+/* nd-roster.c */
+void nd_roster_tick(struct node *node);
+void nd_on_join(struct node *node, const struct msg *msg);
+
 /* nd-plan.c */
+void nd_plan_write(struct node *node, uint64_t caller, uint64_t plan,
+		   uint64_t base_version, struct cfg *next);
 void nd_plan_tick(struct node *node);
 void nd_plan_store_done(struct node *node,
 			const struct nd_store_result *result);
