--- /dev/null
+++ b/tests/process/facts.sh
@@ -0,0 +1,126 @@
+# Facts and load for the tests in this folder; sourced after lib.sh. A test
+# prints one line per fact, and tests/run-processes compares them.
+# shellcheck shell=bash
+
+# fact TEXT VALUE
+fact() {
+	echo "$1: $2"
+}
+
+# holds TEXT COMMAND...: prints whether the command succeeds.
+holds() {
+	local text=$1
+	shift
+	if "$@" >/dev/null 2>&1; then
+		echo "$text: yes"
+	else
+		echo "$text: no"
+	fi
+}
+
+# at_most TEXT LIMIT VALUE and at_least TEXT LIMIT VALUE: the value is printed
+# only if it is out of bounds, so that the line is the same in each good run.
+at_most() {
+	if [ "$3" -le "$2" ]; then
+		echo "$1: at most $2"
+	else
+		echo "$1: $3, more than $2"
+	fi
+}
+
+at_least() {
+	if [ "$3" -ge "$2" ]; then
+		echo "$1: at least $2"
+	else
+		echo "$1: $3, less than $2"
+	fi
+}
+
+# load_worker FILE KIND VM...: sends requests in turn to the VMs until the stop
+# file exists. Each line of the file is HTTP status, VM index, key, answer.
+load_worker() {
+	local file=$1 kind=$2 n=0 vm key
+	shift 2
+	local vms=("$@")
+	while [ ! -e "$work/load.stop" ]; do
+		vm=${vms[n % ${#vms[@]}]}
+		n=$((n + 1))
+		key="$(date +%s%3N)-$BASHPID-$n"
+		if [ "$kind" = order ]; then
+			order "$vm" "$key" -w "\n%{http_code} $vm $key "
+		else
+			lookup "$vm" "blade profile BP-000" \
+				-w "\n%{http_code} $vm $key "
+		fi >"$file-part"
+		awk 'NR == 1 { body = $0 } NR > 1 && NF { print $0 body }' \
+			"$file-part" >>"$file"
+	done
+}
+
+# load_start LOOKUP-WORKERS ORDER-WORKERS VM...: runs until load_stop.
+load_start() {
+	local lookups=$1 orders=$2 i
+	shift 2
+	rm -f "$work/load.stop"
+	: >"$work/load.lookup.0"
+	: >"$work/load.order.0"
+	for ((i = 1; i <= lookups; i++)); do
+		load_worker "$work/load.lookup.$i" lookup "$@" &
+		pids[load-lookup-$i]=$!
+	done
+	for ((i = 1; i <= orders; i++)); do
+		load_worker "$work/load.order.$i" order "$@" &
+		pids[load-order-$i]=$!
+	done
+}
+
+# load_mark: number of requests that ended so far.
+load_mark() {
+	cat "$work"/load.lookup.? "$work"/load.order.? 2>/dev/null | wc -l
+}
+
+load_passed() {
+	[ "$(load_mark)" -ge "$1" ]
+}
+
+# load_more N: waits until N more requests have ended.
+load_more() {
+	until_true 60 load_passed $(($(load_mark) + $1))
+}
+
+load_stop() {
+	local name
+	touch "$work/load.stop"
+	for name in "${!pids[@]}"; do
+		case $name in
+		load-*) ended "$name" ;;
+		esac
+	done
+	cat "$work"/load.lookup.? >"$work/lookups"
+	cat "$work"/load.order.? >"$work/orders"
+	rm -f "$work"/load.lookup.? "$work"/load.order.?
+}
+
+# Lookups of the last load that are not complete; a status of 000 is a
+# connection that was refused or cut.
+incomplete_lookups() {
+	grep -v '^200 .*"coverage":1,' "$work/lookups" >"$work/incomplete"
+	cut -c 1-300 "$work/incomplete" >&2
+	wc -l <"$work/incomplete"
+}
+
+# Stops all daemons in the usual way and prints the last facts.
+end_test() {
+	local name
+	for name in "${!pids[@]}"; do
+		case $name in
+		vm*)
+			kill "${pids[$name]}"
+			ended "$name" || fact "exit status of $name" $?
+			;;
+		esac
+	done
+	fact "sanitizer reports" "$(sanitizer_reports | wc -l)"
+	sanitizer_reports >&2
+	return 0
+}
