Order the incarnations of a VM by its clock

Cause: granters ignore heartbeats of a lower incarnation than the last one, but the daemon drew the incarnation at random. A restarted daemon with a lower number was ignored by all granters that lived on, so it stayed unready and held no unit until they restarted too: one restart in two.

Change: the incarnation is the wall clock at the start with random low bits. A lower number, from a VM with a slower clock, counts once the process before it has been silent for the suspicion time.

--- a/packages/daemon/gd-main.c
+++ b/packages/daemon/gd-main.c
@@ -31,6 +31,7 @@
 			 struct set_settings *settings);
 static void raise_descriptor_limit(void);
 static int start(struct gd *gd);
+static uint64_t new_incarnation(uint64_t random);
 static void on_signal(uv_signal_t *handle, int number);
 static int run(struct gd *gd);
 
@@ -107,6 +108,12 @@
 	gd_stop(gd);
 }
 
+/* Orders the processes of this VM by their start, in microseconds. */
+static uint64_t new_incarnation(uint64_t random)
+{
+	return (uint64_t)g_get_real_time() << 12 | (random & 0xfff);
+}
+
 static int start(struct gd *gd)
 {
 	struct nd_settings *node = &gd->settings.node;
@@ -115,7 +122,7 @@
 
 	if (getrandom(random, sizeof(random), 0) != sizeof(random))
 		return -errno;
-	node->incarnation = random[0] | 1;
+	node->incarnation = new_incarnation(random[0]);
 	node->seed = random[1];
 	gd->rng.state = random[2];
 	gd_log_init(&gd->log, gd->settings.name, gd->settings.log_severity);
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -159,7 +159,7 @@
 	struct gb_str host;
 	uint16_t peer_port;
 	uint16_t http_port;
-	uint64_t incarnation; /* unique to this process */
+	uint64_t incarnation; /* unique; that of a later process is higher */
 	uint64_t seed;
 	gb_time heartbeat; /* interval */
 	gb_time lease;
--- a/packages/quorum/quo-granter.c
+++ b/packages/quorum/quo-granter.c
@@ -84,7 +84,8 @@
 	struct quo_member *member = quo_members_find(granter->members, vm);
 
 	if (!member || cfg_find_vm(cfg, vm) < 0 ||
-	    heartbeat->incarnation < member->incarnation)
+	    quo_members_outdated(granter->members, member, now,
+				 heartbeat->incarnation))
 		return false;
 	if (heartbeat->incarnation == member->incarnation &&
 	    heartbeat->seq <= member->seq)
--- a/packages/quorum/quo-members.c
+++ b/packages/quorum/quo-members.c
@@ -37,15 +37,28 @@
 	return NULL;
 }
 
+/*
+ * An incarnation is taken from the wall clock. A VM that is replaced by one
+ * with a slower clock sends a lower number, which counts once the process
+ * before it has been silent for the suspicion time.
+ */
+bool quo_members_outdated(const struct quo_members *members,
+			  const struct quo_member *member, gb_time now,
+			  uint64_t incarnation)
+{
+	return incarnation < member->incarnation &&
+	       is_live(members, member, now);
+}
+
 void quo_members_heard(struct quo_members *members, gb_time now, uint32_t vm,
 		       uint64_t incarnation, uint64_t epoch,
 		       uint64_t config_version)
 {
 	struct quo_member *member = quo_members_find(members, vm);
 
-	if (!member || incarnation < member->incarnation)
+	if (!member || quo_members_outdated(members, member, now, incarnation))
 		return;
-	if (incarnation > member->incarnation)
+	if (incarnation != member->incarnation)
 		*member = (struct quo_member){ .vm = vm,
 					       .incarnation = incarnation,
 					       .out = member->out };
--- a/packages/quorum/quo.h
+++ b/packages/quorum/quo.h
@@ -64,6 +64,11 @@
 void quo_members_follow(struct quo_members *members, const struct cfg *cfg);
 struct quo_member *quo_members_find(struct quo_members *members, uint32_t vm);
 
+/* Tells whether a message comes from a process before the newest one. */
+bool quo_members_outdated(const struct quo_members *members,
+			  const struct quo_member *member, gb_time now,
+			  uint64_t incarnation);
+
 /* Notes a heartbeat or a reply of a member. */
 void quo_members_heard(struct quo_members *members, gb_time now, uint32_t vm,
 		       uint64_t incarnation, uint64_t epoch,
