bench: measure real daemons beside a bare echo

bench-daemon starts the stand-ins and one or four daemons, drives lookups in open and closed loops and prints the CPU time per sub-request beside that of a libuv echo of the same bytes.

--- /dev/null
+++ b/bench/daemon-main.c
@@ -0,0 +1,266 @@
+#include "bench/daemon.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Usage: bench-daemon [BUILD [RUN]]
+ *
+ * Prints one row for each run; with RUN only that run. BUILD is the directory
+ * of the programs.
+ */
+
+#define WARM_UP (2 * GB_SEC)
+#define MEASURE (4 * GB_SEC)
+
+/* CPU seconds, sub-requests and queries of one measured time. */
+struct sample {
+	double cpu;
+	double upstream_cpu;
+	uint64_t subs;
+};
+
+/* One row: a tier, and the load that it gets. */
+struct run {
+	struct gb_str name;
+	uint32_t daemons;
+	uint32_t shards;
+	uint32_t connections;
+	double rate; /* 0 for a closed loop */
+	void (*measure)(const char *build, const struct run *run);
+};
+
+static struct sample take_sample(const struct bdm_tier *tier);
+static void measure_load(const char *build, const struct run *run);
+static void measure_echo(const char *build, const struct run *run);
+static void measure_memory(const char *build, const struct run *run);
+static void find_sizes(const char *build, struct bdm_echo_sizes *sizes);
+static void note_rss(void *data);
+static void on_stop(int number);
+
+static const struct run runs[] = {
+	{ GB_STR_INIT("echo"), 0, 0, 100, 0, measure_echo },
+	{ GB_STR_INIT("one-fanout10"), 1, 10, 32, 0, measure_load },
+	{ GB_STR_INIT("one-fanout100"), 1, 100, 8, 0, measure_load },
+	{ GB_STR_INIT("one-fanout420"), 1, 420, 4, 0, measure_load },
+	{ GB_STR_INIT("four-fanout10"), 4, 10, 32, 0, measure_load },
+	{ GB_STR_INIT("four-fanout100"), 4, 100, 8, 0, measure_load },
+	{ GB_STR_INIT("four-fanout420"), 4, 420, 4, 0, measure_load },
+	{ GB_STR_INIT("one-open-20"), 1, 20, 64, 400, measure_load },
+	{ GB_STR_INIT("four-open-20"), 4, 20, 64, 400, measure_load },
+	{ GB_STR_INIT("one-open-420"), 1, 420, 64, 20, measure_load },
+	{ GB_STR_INIT("memory"), 1, 20, 1000, 0, measure_memory },
+};
+
+static double echo_us; /* CPU of the echo per exchange, once measured */
+
+static struct sample take_sample(const struct bdm_tier *tier)
+{
+	return (struct sample){
+		.cpu = bdm_tier_usage(tier).cpu,
+		.upstream_cpu = bdm_tier_upstream_cpu(tier),
+		.subs = bdm_tier_counter(
+			tier, GB_STR("gentianbend_sub_requests_total")),
+	};
+}
+
+static void measure_load(const char *build, const struct run *run)
+{
+	struct bdm_tier_options options = { .build = build,
+					    .daemons = run->daemons,
+					    .shards = run->shards };
+	struct bdm_tier *tier = bdm_tier_new(&options);
+	struct bdm_load_options load = { .protocol = &bdm_lookup,
+					 .ports = tier->http_port,
+					 .ports_len = run->daemons,
+					 .connections = run->connections,
+					 .rate = run->rate,
+					 .duration = WARM_UP };
+	struct bdm_load_result result;
+	struct sample before, after;
+	double cpu, subs, seconds;
+
+	bdm_load_run(&load, &result);
+	load.duration = MEASURE;
+	before = take_sample(tier);
+	bdm_load_run(&load, &result);
+	after = take_sample(tier);
+	cpu = after.cpu - before.cpu;
+	subs = (double)(after.subs - before.subs);
+	seconds = (double)result.elapsed / GB_SEC;
+	printf("%-15.*s %3u %4u %4u %6.0f %8.0f %8.2f %7.2f %6.2f %8.0f %7.1f "
+	       "%7.1f %5" PRIu64 " %5.2f\n",
+	       (int)run->name.len, run->name.ptr, run->daemons, run->shards,
+	       run->connections, (double)result.good / seconds, subs / seconds,
+	       cpu / seconds, 1e6 * cpu / subs,
+	       echo_us > 0 ? 1e6 * cpu / subs / echo_us : 0, subs / cpu,
+	       (double)result.p50 / GB_MSEC, (double)result.p99 / GB_MSEC,
+	       result.bad,
+	       (after.upstream_cpu - before.upstream_cpu) / seconds);
+	bdm_tier_free(tier);
+}
+
+/* Sends one sub-request as the daemon does and takes the sizes of both. */
+static void find_sizes(const char *build, struct bdm_echo_sizes *sizes)
+{
+	static const struct gb_str request = GB_STR_INIT(
+		"POST /shard/0/lookup HTTP/1.1\r\nHost: 127.0.0.1:12345\r\n"
+		"Service: bench-assist\r\nAttempt-Id: 0123456789abcdef\r\n"
+		"Snapshot: 1\r\nTimeout-Us: 1180000\r\n"
+		"Content-Type: application/json\r\nContent-Length: 26\r\n\r\n"
+		"{\"query\":\"part\",\"limit\":2}");
+	struct bdm_tier_options options = { .build = build,
+					    .daemons = 1,
+					    .shards = 1 };
+	struct bdm_tier *tier = bdm_tier_new(&options);
+	struct gb_buf close_request = GB_BUF_INIT, answer = GB_BUF_INIT;
+	struct gb_str rest = request, line;
+
+	gb_str_cut(&rest, '\n', &line);
+	gb_buf_add(&close_request, line);
+	gb_buf_add(&close_request, GB_STR("\nConnection: close\r\n"));
+	gb_buf_add(&close_request, rest);
+	if (bdm_http(tier->replica_port, gb_buf_str(&close_request), &answer) !=
+	    200)
+		g_error("upstream: %.*s", (int)answer.len, answer.ptr);
+	sizes->request = request.len;
+	sizes->answer = answer.len;
+	gb_buf_free(&close_request);
+	gb_buf_free(&answer);
+	bdm_tier_free(tier);
+}
+
+static void measure_echo(const char *build, const struct run *run)
+{
+	uint16_t port = bdm_ports(1);
+	char *self = g_file_read_link("/proc/self/exe", NULL);
+	struct bdm_load_options load = { .protocol = &bdm_echo,
+					 .ports = &port,
+					 .ports_len = 1,
+					 .connections = run->connections,
+					 .duration = MEASURE };
+	struct bdm_load_result result;
+	struct bdm_echo_sizes sizes;
+	struct bdm_usage before, after;
+	char text[3][16];
+	char *argv[] = {
+		self, (char *)"--echo", text[0], text[1], text[2], NULL
+	};
+	pid_t pid;
+
+	find_sizes(build, &sizes);
+	g_snprintf(text[0], sizeof(text[0]), "%u", port);
+	g_snprintf(text[1], sizeof(text[1]), "%zu", sizes.request);
+	g_snprintf(text[2], sizeof(text[2]), "%zu", sizes.answer);
+	pid = bdm_start(argv);
+	g_usleep(200000);
+	bdm_echo_sizes(&sizes);
+	before = bdm_usage(pid);
+	bdm_load_run(&load, &result);
+	after = bdm_usage(pid);
+	echo_us = 1e6 * (after.cpu - before.cpu) / (double)result.good;
+	printf("echo of %zu and %zu bytes, %u connections: %.0f/s, %.2f us of "
+	       "CPU each, p50 %.2f ms\n",
+	       sizes.request, sizes.answer, run->connections,
+	       (double)result.good * GB_SEC / (double)result.elapsed, echo_us,
+	       (double)result.p50 / GB_MSEC);
+	bdm_stop(pid);
+	g_free(self);
+}
+
+struct rss {
+	pid_t pid;
+	uint64_t value;
+};
+
+static void note_rss(void *data)
+{
+	struct rss *rss = data;
+
+	rss->value = bdm_usage(rss->pid).rss;
+}
+
+/*
+ * Memory while connections are idle, and while each has a query that runs.
+ * The upstreams are frozen, so that all queries run at the time of the look.
+ */
+static void measure_memory(const char *build, const struct run *run)
+{
+	struct bdm_tier_options options = { .build = build,
+					    .daemons = 1,
+					    .shards = run->shards };
+	struct bdm_tier *tier = bdm_tier_new(&options);
+	struct rss rss = { .pid = tier->daemon[0] };
+	struct bdm_load_options load = { .protocol = &bdm_lookup,
+					 .ports = tier->http_port,
+					 .ports_len = 1,
+					 .connections = run->connections,
+					 .rate = 1e-6,
+					 .duration = 3 * GB_SEC,
+					 .halfway = note_rss,
+					 .data = &rss };
+	struct bdm_load_result result;
+	uint64_t idle = bdm_usage(rss.pid).rss;
+
+	bdm_load_run(&load, &result);
+	printf("memory: %.1f MiB after the start, %.2f KiB per idle caller "
+	       "connection (%u connections)\n",
+	       (double)idle / 1048576,
+	       ((double)rss.value - (double)idle) / 1024 / run->connections,
+	       run->connections);
+	bdm_tier_free(tier);
+
+	/* The admission begins with 64 queries at once. */
+	tier = bdm_tier_new(&options);
+	rss.pid = tier->daemon[0];
+	load.ports = tier->http_port;
+	load.connections = 60;
+	load.duration = 2 * GB_SEC;
+	bdm_load_run(&load, &result);
+	idle = rss.value;
+	bdm_tier_freeze(tier, 2000);
+	load.rate = 0;
+	load.duration = 600 * GB_MSEC;
+	bdm_load_run(&load, &result);
+	printf("memory: %.2f KiB per running query of %u sub-requests, each "
+	       "with an upstream connection (%u queries)\n",
+	       ((double)rss.value - (double)idle) / 1024 / load.connections,
+	       run->shards, load.connections);
+	bdm_tier_free(tier);
+}
+
+static void on_stop(int number)
+{
+	(void)number;
+	exit(1);
+}
+
+int main(int argc, char **argv)
+{
+	struct bdm_echo_sizes sizes;
+
+	signal(SIGPIPE, SIG_IGN);
+	if (argc == 5 && !strcmp(argv[1], "--echo")) {
+		sizes.request = strtoul(argv[3], NULL, 10);
+		sizes.answer = strtoul(argv[4], NULL, 10);
+		return bdm_echo_serve(strtoul(argv[2], NULL, 10), &sizes);
+	}
+	signal(SIGTERM, on_stop);
+	signal(SIGINT, on_stop);
+	printf("us/sub is the CPU of all daemons per sub-request; x echo is "
+	       "that over the echo's; times in ms;\nup is the CPU share of "
+	       "the busiest upstream process.\n");
+	printf("%-15s %3s %4s %4s %6s %8s %8s %7s %6s %8s %7s %7s %5s %5s\n",
+	       "run", "vms", "fan", "conn", "q/s", "sub/s", "cores", "us/sub",
+	       "x echo", "sub/core", "p50", "p99", "bad", "up");
+	for (size_t i = 0; i < G_N_ELEMENTS(runs); i++) {
+		if (argc > 2 &&
+		    !gb_str_eq(runs[i].name, gb_str_from_c(argv[2])))
+			continue;
+		runs[i].measure(argc > 1 ? argv[1] : "build", &runs[i]);
+		fflush(stdout);
+	}
+	return 0;
+}
