--- a/tests/scenario/scn-net.c
+++ b/tests/scenario/scn-net.c
@@ -69,6 +69,8 @@
 	if (!to || !to->node)
 		return;
 	net->messages++;
+	if (world->on_message)
+		world->on_message(world, from, to, msg);
 	link = &net->link[from->index][to->index];
 	if (link->cut || gb_rng_below(&world->rng, 1000) < net->drop_permille)
 		return;
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -262,6 +262,9 @@
 			     struct scn_request *request);
 	void (*call_ended)(struct scn_world *world, struct scn_call *call,
 			   enum nd_upstream_status status, uint64_t docs);
+	/* Sees every message that is sent to a running VM; may be NULL. */
+	void (*on_message)(struct scn_world *world, const struct scn_vm *from,
+			   const struct scn_vm *to, const struct msg *msg);
 };
 
 /* scn-world.c */
