--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -24,6 +24,7 @@
 #define CFG_SHARDS_MAX 4096
 #define CFG_REPLICAS_MAX 64
 #define CFG_CHANGES_MAX 32
+#define CFG_EXCLUDED_MAX 1024
 #define CFG_UNITS 256
 #define CFG_OBJECT_MAX (1024 * 1024)
 
@@ -89,6 +90,8 @@
 	GArray *dcs; /* of struct cfg_dc */
 	GArray *vms; /* of struct cfg_vm, ordered by id */
 	GArray *services; /* of struct cfg_service */
+	GArray *excluded; /* of uint32_t, VMs that must not join by themselves
+			   */
 	GArray *changes; /* of uint64_t, identities of the last changes */
 };
 
@@ -111,12 +114,19 @@
 				    struct gb_str host);
 struct cfg_snapshot *cfg_add_snapshot(struct cfg_service *service, uint64_t id);
 void cfg_set_policy(struct cfg_service *service, struct gb_str policy);
+/* Takes over the shards and snapshots of another service. */
+void cfg_set_partition(struct cfg_service *to, const struct cfg_service *from);
 void cfg_remove_vm(struct cfg *cfg, uint32_t index);
 
 /* Removes the oldest snapshots so that at most keep are left. */
 void cfg_keep_snapshots(struct cfg_service *service, uint32_t keep);
 void cfg_add_change(struct cfg *cfg, uint64_t change);
 
+/* A VM that an operator removed stays out until an operator adds it. */
+void cfg_exclude_vm(struct cfg *cfg, uint32_t id);
+void cfg_include_vm(struct cfg *cfg, uint32_t id);
+bool cfg_is_excluded(const struct cfg *cfg, uint32_t id);
+
 /* Checks the rules that hold within one version. */
 int cfg_check(const struct cfg *cfg, struct gb_error *err);
 
@@ -143,6 +153,12 @@
 uint64_t cfg_snapshot_docs(const struct cfg_snapshot *snapshot);
 uint64_t cfg_shard_docs(const struct cfg_snapshot *snapshot, uint32_t shard);
 
+/* Calls fn for each replica of each shard of each service. */
+typedef void (*cfg_replica_fn)(void *ctx, const struct cfg *cfg,
+			       const struct cfg_service *service,
+			       const struct cfg_replica *replica);
+void cfg_each_replica(const struct cfg *cfg, cfg_replica_fn fn, void *ctx);
+
 /* The first CFG_GRANTERS_MAX VMs by id are the granters of the cell. */
 uint32_t cfg_granters(const struct cfg *cfg);
 uint32_t cfg_majority(const struct cfg *cfg);
