--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 STANDIN_SRC = $(wildcard tests/standin/*.c)
 SCENARIO_SRC = $(wildcard tests/scenario/*.c)
 BENCH_SRC = $(wildcard bench/*.c)
+MATRIX_SRC = $(wildcard tests/matrix/*.c)
 UNIT_SRC = $(wildcard packages/*/tests/*.c)
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
@@ -31,6 +32,7 @@
 SCENARIOS = $(if $(SCENARIO_SRC),$(BUILD)/scenario)
 BENCHES = $(addprefix $(BUILD)/bench-,\
 	$(filter-out common,$(call programs,$(BENCH_SRC))))
+MATRIX = $(if $(MATRIX_SRC),$(BUILD)/matrix)
 BINARIES = $(if $(DAEMON_SRC),$(BUILD)/gentianbend) \
 	$(if $(CTL_SRC),$(BUILD)/gentianctl)
 
@@ -38,7 +40,7 @@
 	unit docs-check scenario process asan clean
 .SECONDARY:
 
-all: $(BINARIES) $(STANDINS) $(SCENARIOS) $(BENCHES) $(UNITS)
+all: $(BINARIES) $(STANDINS) $(SCENARIOS) $(MATRIX) $(BENCHES) $(UNITS)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -86,6 +88,11 @@
 	$(eval $(call program,$(BUILD)/bench-$(p),bench,$(p),$(BENCH_SRC),\
 	$(call obj,$(SCENARIO_ENGINE)) $(BUILD)/tests/script/scr.o)))
 
+$(BUILD)/matrix: $(call obj,$(MATRIX_SRC) $(SCENARIO_ENGINE)) \
+		$(BUILD)/tests/script/scr.o $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
 	grep -v generated)
 
--- a/tests/scenario/scn-caller.c
+++ b/tests/scenario/scn-caller.c
@@ -179,6 +179,8 @@
 	if (request->answered)
 		return;
 	request->answered = true;
+	request->code = answer->code;
+	request->coverage = coverage;
 	load = load_of(world, request);
 	if (load) {
 		scn_tally_done(&load->tally, world, request, answer->code,
--- a/tests/scenario/scn-command.c
+++ b/tests/scenario/scn-command.c
@@ -56,11 +56,12 @@
 	{ GB_STR_INIT("dc"), cmd_dc, GB_STR_INIT("NAME") },
 	{ GB_STR_INIT("vm"), cmd_vm, GB_STR_INIT("ID dc=NAME [skew_ms=N]") },
 	{ GB_STR_INIT("service"), cmd_service,
-	  GB_STR_INIT("NAME [shards=N] [replicas=N] [slots=N] [queue=N] "
-		      "[backlog=N] [connections=N] [cold=N] [ramp_ms=N] [cold_ms=N] "
-		      "[mean_us=N] [slow_permille=N] [connect_us=N] "
-		      "[policy=P] [hedge=N] [canary=0|1] [crash_on=T] "
-		      "[deadline_ms=N]") },
+	  GB_STR_INIT(
+		  "NAME [shards=N] [replicas=N] [slots=N] [queue=N] "
+		  "[backlog=N] [connections=N] [cold=N] [ramp_ms=N] [cold_ms=N] "
+		  "[mean_us=N] [slow_permille=N] [connect_us=N] "
+		  "[policy=P] [hedge=N] [canary=0|1] [crash_on=T] "
+		  "[deadline_ms=N]") },
 	{ GB_STR_INIT("start"), cmd_start, GB_STR_INIT("[vms=0|1]") },
 	{ GB_STR_INIT("run"), cmd_run, GB_STR_INIT("MS") },
 	{ GB_STR_INIT("lookup"), cmd_lookup,
--- a/tests/scenario/scn-upstream.c
+++ b/tests/scenario/scn-upstream.c
@@ -347,6 +347,12 @@
 		scn_call_unref(call);
 		return;
 	}
+	/* Upstreams accept deadlines: what is read too late is not begun. */
+	if (world->now > call->stop_at) {
+		give(world, call, ND_UPSTREAM_TIMEOUT, hop);
+		scn_call_unref(call);
+		return;
+	}
 	upstream->received++;
 	fact(world, SCN_UPSTREAM_RECEIVED, upstream, call);
 	if (!call->order && call->snapshot < upstream->snapshot_min) {
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -212,6 +212,8 @@
 	bool answered;
 	bool quiet; /* part of a load: no line in the trace */
 	bool lost; /* the caller gave up without an answer */
+	enum gb_code code; /* of the answer */
+	double coverage;
 };
 
 /* What a load saw. */
