--- a/Makefile
+++ b/Makefile
@@ -69,8 +69,8 @@
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
 
-# The test of the command line brings its own HTTP client and output.
-CTL_TESTED = $(filter-out %/ctl-main.c %/ctl-http.c %/ctl-out.c,$(CTL_SRC))
+# The test of the command line brings its own HTTP client, output and clock.
+CTL_TESTED = $(filter-out %/ctl-main.c %/ctl-http.c %/ctl-shell.c,$(CTL_SRC))
 $(BUILD)/packages/ctl/tests/ctl-test: $(call obj,$(CTL_TESTED))
 $(BUILD)/packages/ctl/tests/http-test: $(call obj,packages/ctl/ctl-http.c)
 
@@ -125,21 +125,21 @@
 	tests/run-processes $(BUILD)
 
 asan:
-	$(MAKE) BUILD=build-asan CFLAGS="-O1 -g" \
+	$(MAKE) -j8 BUILD=build-asan CFLAGS="-O1 -g" \
 		SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer" \
 		all unit scenario process
 
 check: install-deps
 	$(MAKE) format-check lint
-	$(MAKE) all
+	$(MAKE) -j8 all
 	tests/check
 
 demo: install-deps
-	$(MAKE) all
+	$(MAKE) -j8 all
 	tests/demo $(BUILD)
 
 bench: install-deps
-	$(MAKE) all
+	$(MAKE) -j8 all
 	bench/run $(BUILD)
 
 matrix: all
--- a/packages/ctl/tests/ctl-test.c
+++ b/packages/ctl/tests/ctl-test.c
@@ -6,8 +6,9 @@
 #include <unistd.h>
 
 /*
- * ctl-http.c and ctl-out.c are replaced: calls are answered from a list of
- * prepared answers, and output is kept for the expected file.
+ * ctl-http.c and ctl-shell.c are replaced: calls are answered from a list of
+ * prepared answers, output is kept for the expected file, and time passes only
+ * in pauses.
  */
 
 /* A prepared answer; the first one left that fits a call is used up. */
@@ -25,6 +26,7 @@
 static GArray *answers; /* of struct answer */
 static struct gb_buf *output;
 static char *file_path;
+static gb_time now;
 
 static void *open_ctx(void);
 static void close_ctx(void *ctx);
@@ -43,11 +45,11 @@
 			struct gb_buf *out);
 
 static const struct scr_command commands[] = {
-	{ .name = { "answer", 6 }, .run = cmd_answer },
-	{ .name = { "file", 4 }, .run = cmd_file },
-	{ .name = { "saved", 5 }, .run = cmd_saved },
-	{ .name = { "run", 3 }, .run = cmd_run },
-	{ .name = { "servers", 7 }, .run = cmd_servers },
+	{ .name = GB_STR_INIT("answer"), .run = cmd_answer },
+	{ .name = GB_STR_INIT("file"), .run = cmd_file },
+	{ .name = GB_STR_INIT("saved"), .run = cmd_saved },
+	{ .name = GB_STR_INIT("run"), .run = cmd_run },
+	{ .name = GB_STR_INIT("servers"), .run = cmd_servers },
 };
 
 static void *open_ctx(void)
@@ -141,6 +143,16 @@
 	gb_buf_addc(output, '\n');
 }
 
+gb_time ctl_now(void)
+{
+	return now;
+}
+
+void ctl_pause(gb_time time)
+{
+	now += time;
+}
+
 static enum ctl_reach reach_of(struct gb_str name)
 {
 	if (gb_str_eq(name, GB_STR("lost")))
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -33,6 +33,8 @@
 	MSG_CONFIG_FETCH,
 	MSG_CONFIG,
 	MSG_QUARANTINE,
+	MSG_WARM,
+	MSG_JOIN,
 	MSG_KINDS
 };
 
@@ -172,6 +174,27 @@
 	uint32_t crashes;
 };
 
+/* An upstream process that its owner found to bear its full load. */
+struct msg_warm_item {
+	uint64_t upstream; /* hash of service and replica names */
+	uint64_t instance;
+};
+
+struct msg_warm {
+	struct msg_warm_item *items;
+	uint32_t items_len;
+};
+
+/* A VM that is not in the roster asks a granter to add it. */
+struct msg_join {
+	uint64_t config_version;
+	struct gb_str name;
+	struct gb_str host;
+	uint32_t peer_port;
+	uint32_t http_port;
+	struct gb_str dc;
+};
+
 struct msg {
 	enum msg_kind kind;
 	uint32_t from; /* VM id */
@@ -189,6 +212,8 @@
 		struct msg_config_fetch config_fetch;
 		struct msg_config config;
 		struct msg_quarantine quarantine;
+		struct msg_warm warm;
+		struct msg_join join;
 	};
 };
 
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -103,13 +103,18 @@
 	struct quo_granter granter;
 	struct quo_holder holder;
 	struct once_voter *voter;
+	bool voter_started;
 	bool is_granter;
+	uint64_t granter_epoch; /* last epoch in which this VM was a granter */
 	struct sus_table *suspects;
 
+	gb_time started;
+	gb_time roster_at; /* next look at the roster */
 	int self; /* roster index; -1 when not in the roster */
 	gb_time heartbeat_at;
 	gb_time hurry_until; /* heartbeats go faster until then */
 	gb_time reply_at[CFG_VMS_MAX]; /* sent by a granter as new as us */
+	uint64_t reply_epoch; /* of the positions in reply_at */
 	uint64_t reply_ready; /* candidates as the last granter saw them */
 	uint64_t reply_live;
 	uint64_t live; /* members that counted as live at the last tick */
@@ -120,6 +125,7 @@
 
 	GPtrArray *services; /* of struct nd_service */
 	GPtrArray *shards; /* of struct nd_shard */
+	GHashTable *warm; /* hash of an upstream to its warm instance */
 	GHashTable *calls; /* call identity to struct nd_shard */
 	GHashTable *works; /* query number to struct nd_work */
 	GPtrArray *results; /* of struct nd_work with results to send */
@@ -175,16 +181,36 @@
 void nd_owner_leases(struct node *node);
 bool nd_owner_unit_idle(const struct node *node, uint32_t unit);
 uint32_t nd_owner_running(const struct node *node);
-void nd_owner_flush(struct node *node);
 void nd_owner_free(struct node *node);
-void nd_on_batch(struct node *node, const struct msg *msg);
-void nd_on_cancel(struct node *node, const struct msg *msg);
-void nd_on_quarantine(struct node *node, const struct msg *msg);
+struct nd_shard *nd_shard_get(struct node *node, int service, uint32_t index);
 struct nd_service *nd_service_get(struct node *node,
 				  const struct cfg_service *cfg);
+void nd_on_quarantine(struct node *node, const struct msg *msg);
+
+/* nd-work.c */
+struct nd_work *nd_work_find(struct node *node, uint64_t query);
+void nd_work_add(struct node *node, struct nd_work *work,
+		 const struct msg_sub_result *result);
+void nd_work_flush(struct node *node);
+void nd_work_free_all(struct node *node);
+void nd_on_batch(struct node *node, const struct msg *msg);
+void nd_on_cancel(struct node *node, const struct msg *msg);
+
+/* nd-seen.c */
+bool nd_seen_is_new(struct node *node, const struct msg *msg, uint64_t attempt);
+void nd_seen_tick(struct node *node);
+
+/* nd-warm.c */
+void nd_warm_note(struct node *node, struct nd_shard *entry, uint32_t replica,
+		  uint64_t instance);
+void nd_warm_apply(struct node *node, struct nd_shard *entry);
+void nd_warm_follow(struct node *node);
+void nd_warm_send(struct node *node, uint32_t vm);
+void nd_on_warm(struct node *node, const struct msg *msg);
 
 /* nd-query.c */
 void nd_query_tick(struct node *node);
+void nd_query_follow(struct node *node);
 void nd_query_vm_lost(struct node *node, uint32_t vm);
 void nd_query_reap(struct node *node);
 void nd_query_leave(struct node *node, struct qry_query *query,
@@ -204,7 +230,13 @@
 void nd_on_release(struct node *node, const struct msg *msg);
 void nd_on_outcome(struct node *node, const struct msg *msg);
 
+/* nd-roster.c */
+void nd_roster_tick(struct node *node);
+void nd_on_join(struct node *node, const struct msg *msg);
+
 /* nd-plan.c */
+void nd_plan_write(struct node *node, uint64_t caller, uint64_t plan,
+		   uint64_t base_version, struct cfg *next);
 void nd_plan_tick(struct node *node);
 void nd_plan_store_done(struct node *node,
 			const struct nd_store_result *result);
--- a/packages/shard/tests/shard-test.c
+++ b/packages/shard/tests/shard-test.c
@@ -87,6 +87,15 @@
 	w->hedging = code == EV_SUB_HEDGED;
 }
 
+static void on_warm(void *ctx, struct shd_shard *shard, uint32_t replica,
+		    uint64_t instance)
+{
+	(void)ctx;
+	(void)shard;
+	(void)replica;
+	(void)instance;
+}
+
 static uint64_t on_next_call(void *ctx)
 {
 	struct world *w = ctx;
@@ -100,6 +109,7 @@
 	.done = on_done,
 	.crashed = on_crashed,
 	.event = on_event,
+	.warm = on_warm,
 	.next_call = on_next_call,
 };
 
@@ -249,7 +259,8 @@
 	w->out = out;
 	world_close(w, (int)scr_int(args, GB_STR("replica"), -1),
 		    (int)scr_int(args, GB_STR("dc"), -1),
-		    scr_int(args, GB_STR("closed"), 1));
+		    scr_int(args, GB_STR("closed"), 1),
+		    scr_int(args, GB_STR("removed"), 0));
 }
 
 /* Warms all upstreams by rounds of successes that take 10 ms each. */
@@ -329,18 +340,18 @@
 }
 
 static const struct scr_command commands[] = {
-	{ .name = { "service", 7 }, .run = cmd_service },
-	{ .name = { "submit", 6 }, .run = cmd_submit },
-	{ .name = { "answer", 6 }, .run = cmd_answer },
-	{ .name = { "run", 3 }, .run = cmd_run },
-	{ .name = { "lease", 5 }, .run = cmd_lease },
-	{ .name = { "cancel", 6 }, .run = cmd_cancel },
-	{ .name = { "close", 5 }, .run = cmd_close },
-	{ .name = { "warm", 4 }, .run = cmd_warm },
-	{ .name = { "fill", 4 }, .run = cmd_fill },
-	{ .name = { "state", 5 }, .run = cmd_state },
-	{ .name = { "metrics", 7 }, .run = cmd_metrics },
-	{ .name = { "random", 6 }, .run = cmd_random },
+	{ .name = GB_STR_INIT("service"), .run = cmd_service },
+	{ .name = GB_STR_INIT("submit"), .run = cmd_submit },
+	{ .name = GB_STR_INIT("answer"), .run = cmd_answer },
+	{ .name = GB_STR_INIT("run"), .run = cmd_run },
+	{ .name = GB_STR_INIT("lease"), .run = cmd_lease },
+	{ .name = GB_STR_INIT("cancel"), .run = cmd_cancel },
+	{ .name = GB_STR_INIT("close"), .run = cmd_close },
+	{ .name = GB_STR_INIT("warm"), .run = cmd_warm },
+	{ .name = GB_STR_INIT("fill"), .run = cmd_fill },
+	{ .name = GB_STR_INIT("state"), .run = cmd_state },
+	{ .name = GB_STR_INIT("metrics"), .run = cmd_metrics },
+	{ .name = GB_STR_INIT("random"), .run = cmd_random },
 };
 
 int main(int argc, char **argv)
