Wait for the answer of an upstream that reaches its deadline

The shell ended a call as timed out at the very time that it had given the upstream; the upstream counts from receipt and ran one hop longer, while its slot was already given away.

--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -138,7 +138,8 @@
 	call->x.done = call_done;
 	call->x.release = call_release;
 	g_hash_table_insert(gd->calls, &call->call.call, call);
-	gd_exchange_start(gd, &call->x, endpoint, request->timeout, false);
+	gd_exchange_start(gd, &call->x, endpoint,
+			  request->timeout + ND_ANSWER_GRACE, false);
 }
 
 /* Writes the request if the lease and the deadline still permit it. */
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -35,6 +35,13 @@
 	int64_t wall_ms;
 };
 
+/*
+ * The shell waits this much longer than the upstream may run before it reports
+ * ND_UPSTREAM_TIMEOUT: the upstream counts its time from receipt, and a slot
+ * that is free here must be free there.
+ */
+#define ND_ANSWER_GRACE (50 * GB_MSEC)
+
 /* One call to an upstream. Strings are valid during the call only. */
 struct nd_upstream_call {
 	uint64_t call; /* attempt identity, echoed by the upstream */
