Drain upstreams whose VMs the platform lists as leaving

Cause: a leaving upstream was known only when an operator drained it; the platform's list of live and leaving VMs was not read at all. Change: the live member with the lowest id reads the list each second and tells the others (LEAVING); upstreams on leaving hosts are closed to new work, and an own VM that leaves gives its units up.

--- a/packages/daemon/gd-platform.c
+++ b/packages/daemon/gd-platform.c
@@ -8,8 +8,8 @@
 /* Each watch counts as a call, so it waits long. */
 #define WATCH_WAIT_S 30
 
-/* A watch and a read or write at the same time, and one to spare. */
-#define CONNECTIONS_MAX 3
+/* A watch, a read or write and the list of VMs at the same time. */
+#define CONNECTIONS_MAX 4
 
 struct gd_store_call {
 	struct gd_exchange x; /* first, so that one is cast to the other */
@@ -52,6 +52,11 @@
 	start(gd, ND_STORE_WATCH, tag, after, NULL);
 }
 
+void gd_platform_vms(struct gd *gd, uint64_t tag)
+{
+	start(gd, ND_STORE_VMS, tag, 0, NULL);
+}
+
 void gd_platform_write(struct gd *gd, uint64_t tag, const struct cfg *cfg,
 		       uint64_t base)
 {
@@ -97,6 +102,9 @@
 	case ND_STORE_READ:
 		gb_buf_addf(out, "GET " OBJECT_PATH " HTTP/1.1\r\n");
 		break;
+	case ND_STORE_VMS:
+		gb_buf_addf(out, "GET /vms HTTP/1.1\r\n");
+		break;
 	case ND_STORE_WATCH:
 		gb_buf_addf(out,
 			    "GET " OBJECT_PATH "?watch=%" PRIu64
@@ -186,8 +194,16 @@
 	struct gd_store_call *call = arg;
 	struct nd_store_result *result = &call->result;
 	struct cfg *cfg = NULL;
+	GArray *leaving = NULL;
 
-	if (result->status == ND_STORE_OK && result->op == ND_STORE_WRITE) {
+	if (result->status == ND_STORE_OK && result->op == ND_STORE_VMS) {
+		leaving = js_vms_decode(gb_buf_str(&call->x.body), NULL);
+		result->leaving = leaving ? (void *)leaving->data : NULL;
+		result->leaving_len = leaving ? leaving->len : 0;
+		if (!leaving)
+			result->status = ND_STORE_DOWN;
+	} else if (result->status == ND_STORE_OK &&
+		   result->op == ND_STORE_WRITE) {
 		result->version = call->etag;
 	} else if (result->status == ND_STORE_OK && call->x.status == 200) {
 		cfg = decode(call);
@@ -198,6 +214,8 @@
 	nd_store_done(gd->node, gd_clock(), result);
 	if (cfg)
 		cfg_unref(cfg);
+	if (leaving)
+		g_array_unref(leaving);
 	gd_exchange_clear(&call->x);
 	gb_buf_free(&call->body);
 	g_free(call);
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -267,6 +267,7 @@
 
 void gd_platform_read(struct gd *gd, uint64_t tag);
 void gd_platform_watch(struct gd *gd, uint64_t tag, uint64_t after);
+void gd_platform_vms(struct gd *gd, uint64_t tag);
 void gd_platform_write(struct gd *gd, uint64_t tag, const struct cfg *cfg,
 		       uint64_t base);
 
--- a/packages/event/ev-table.c
+++ b/packages/event/ev-table.c
@@ -57,6 +57,10 @@
 	ROW(EV_MEMBER_REMOVED, EV_WARNING, "member_removed",
 	    "This VM writes a roster without a VM that was silent too long.",
 	    "member", ""),
+	ROW(EV_VMS_LEAVING, EV_NOTICE, "vms_leaving",
+	    "The platform's list of leaving VMs changed; upstreams there are "
+	    "drained.",
+	    "hosts", ""),
 	ROW(EV_UPSTREAM_COLD, EV_NOTICE, "upstream_cold",
 	    "An upstream was put at its cold limit.", "shard", ""),
 	ROW(EV_UPSTREAM_WARM, EV_INFO, "upstream_warm",
--- a/packages/json/js.h
+++ b/packages/json/js.h
@@ -16,6 +16,13 @@
 void js_config_encode(const struct cfg *cfg, struct gb_buf *out);
 struct cfg *js_config_decode(struct gb_str text, struct gb_error *err);
 
+/*
+ * Reads the platform's list of VMs, [{"host":"..","leaving":true}, ..], and
+ * returns the hosts that leave as an array of owned struct gb_str; NULL for
+ * text of another form.
+ */
+GArray *js_vms_decode(struct gb_str text, struct gb_error *err);
+
 /*
  * Tells whether the body of an upstream's answer is one JSON text: an array,
  * or for an order any value or nothing. To be asked before the documents of
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -25,6 +25,8 @@
 static void drop_warm(struct msg *msg);
 static void own_join(struct msg *msg);
 static void drop_join(struct msg *msg);
+static void own_leaving(struct msg *msg);
+static void drop_leaving(struct msg *msg);
 static void own_config(struct msg *msg);
 static void drop_config(struct msg *msg);
 
@@ -61,6 +63,9 @@
 	[MSG_JOIN] = { .name = GB_STR_INIT("join"),
 		       .own = own_join,
 		       .drop = drop_join },
+	[MSG_LEAVING] = { .name = GB_STR_INIT("leaving"),
+			  .own = own_leaving,
+			  .drop = drop_leaving },
 };
 
 static const struct gb_str statuses[MSG_STATUSES] = {
@@ -185,6 +190,23 @@
 	gb_str_free(&msg->join.dc);
 }
 
+static void own_leaving(struct msg *msg)
+{
+	struct msg_leaving *leaving = &msg->leaving;
+
+	leaving->hosts = g_memdup2(
+		leaving->hosts, leaving->hosts_len * sizeof(leaving->hosts[0]));
+	for (uint32_t i = 0; i < leaving->hosts_len; i++)
+		leaving->hosts[i] = gb_str_dup(leaving->hosts[i]);
+}
+
+static void drop_leaving(struct msg *msg)
+{
+	for (uint32_t i = 0; i < msg->leaving.hosts_len; i++)
+		gb_str_free(&msg->leaving.hosts[i]);
+	g_free(msg->leaving.hosts);
+}
+
 static void own_config(struct msg *msg)
 {
 	if (msg->config.cfg)
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -35,6 +35,7 @@
 	MSG_QUARANTINE,
 	MSG_WARM,
 	MSG_JOIN,
+	MSG_LEAVING,
 	MSG_KINDS
 };
 
@@ -196,6 +197,13 @@
 	struct gb_str dc;
 };
 
+/* The hosts that leave, by the platform's list of VMs; replaces earlier ones.
+ */
+struct msg_leaving {
+	struct gb_str *hosts;
+	uint32_t hosts_len;
+};
+
 struct msg {
 	enum msg_kind kind;
 	uint32_t from; /* VM id */
@@ -215,6 +223,7 @@
 		struct msg_quarantine quarantine;
 		struct msg_warm warm;
 		struct msg_join join;
+		struct msg_leaving leaving;
 	};
 };
 
--- a/packages/node/nd-config.c
+++ b/packages/node/nd-config.c
@@ -78,12 +78,19 @@
 	met_add(node->metrics, MET_CONFIG_CHANGES, 1);
 	met_set(node->metrics, MET_CONFIG_VERSION, cfg->version);
 	nd_event_plain(node, EV_CONFIG_TAKEN, cfg->version, cfg->epoch);
-	nd_warm_follow(node);
 	nd_member_follow(node);
-	nd_owner_follow(node);
+	nd_config_apply(node);
 	nd_query_follow(node);
 }
 
+/* Lets the upstreams follow the configuration and the list of VMs. */
+void nd_config_apply(struct node *node)
+{
+	nd_leaving_follow(node);
+	nd_warm_follow(node);
+	nd_owner_follow(node);
+}
+
 /* Fetches from a peer that has a higher version. */
 void nd_config_heard(struct node *node, uint32_t vm, uint64_t version)
 {
@@ -147,6 +154,11 @@
 		source->read_tag = 0;
 	if (result->tag == source->watch_tag)
 		source->watch_tag = 0;
+	if (result->op == ND_STORE_VMS) {
+		nd_leaving_done(node, result);
+		nd_end(node);
+		return;
+	}
 	if (result->status == ND_STORE_DOWN)
 		store_failed(node);
 	else
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -89,6 +89,14 @@
 	gb_time fetch_at; /* earliest time of the next fetch from a peer */
 };
 
+/* Hosts that leave, by the platform's list of VMs. */
+struct nd_leaving {
+	GHashTable *hosts; /* set of texts */
+	uint64_t hlc; /* stamp of the newest list */
+	uint64_t tag; /* of the outstanding call; 0 for none */
+	gb_time next;
+};
+
 struct node {
 	struct nd_settings settings;
 	const struct nd_ops *ops;
@@ -136,6 +144,8 @@
 	GQueue *orders_seen_age; /* the same, oldest first */
 	GPtrArray *confirms; /* of struct nd_confirm */
 	struct nd_source source;
+	struct nd_leaving leaving;
+	struct cfg *view; /* configuration with leaving upstreams drained */
 	GQueue *self_queue; /* messages of this VM to itself */
 
 	uint64_t id_base;
@@ -171,6 +181,7 @@
 /* nd-config.c */
 void nd_config_tick(struct node *node);
 void nd_config_offer(struct node *node, struct cfg *cfg);
+void nd_config_apply(struct node *node);
 void nd_config_heard(struct node *node, uint32_t vm, uint64_t version);
 void nd_on_config_fetch(struct node *node, const struct msg *msg);
 void nd_on_config(struct node *node, const struct msg *msg);
@@ -208,6 +219,14 @@
 void nd_warm_send(struct node *node, uint32_t vm);
 void nd_on_warm(struct node *node, const struct msg *msg);
 
+/* nd-leaving.c */
+void nd_leaving_tick(struct node *node);
+void nd_leaving_follow(struct node *node);
+void nd_leaving_send(struct node *node, uint32_t vm);
+bool nd_leaving_self(const struct node *node);
+void nd_leaving_done(struct node *node, const struct nd_store_result *result);
+void nd_on_leaving(struct node *node, const struct msg *msg);
+
 /* nd-query.c */
 void nd_query_tick(struct node *node);
 void nd_query_follow(struct node *node);
--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -9,6 +9,7 @@
 static bool eligible(const struct node *node);
 static void update_candidates(struct node *node);
 static void update_owners(struct node *node);
+static void greet(struct node *node, uint32_t vm);
 static void report_members(struct node *node, uint64_t live);
 static bool update_units(struct node *node);
 static uint32_t count_units(const struct msg_units *units);
@@ -23,7 +24,8 @@
 	const struct cfg *cfg = node->store.current;
 
 	return cfg && node->self >= 0 && !node->stopping &&
-	       !cfg_dc(cfg, cfg_vm(cfg, node->self)->dc)->out;
+	       !cfg_dc(cfg, cfg_vm(cfg, node->self)->dc)->out &&
+	       !nd_leaving_self(node);
 }
 
 /*
@@ -62,6 +64,13 @@
 		node->owner[i] = cfg ? quo_owner(cfg, node->candidates, i) : -1;
 }
 
+/* Tells a member that came what it cannot learn from the platform. */
+static void greet(struct node *node, uint32_t vm)
+{
+	nd_warm_send(node, vm);
+	nd_leaving_send(node, vm);
+}
+
 /* Notes which members came or went; queries send again what a dead one had. */
 static void report_members(struct node *node, uint64_t live)
 {
@@ -78,7 +87,7 @@
 		nd_event_plain(node, is ? EV_MEMBER_LIVE : EV_MEMBER_DEAD,
 			       cfg_vm(cfg, i)->id, 0);
 		if (is)
-			nd_warm_send(node, cfg_vm(cfg, i)->id);
+			greet(node, cfg_vm(cfg, i)->id);
 		else
 			nd_query_vm_lost(node, cfg_vm(cfg, i)->id);
 	}
--- a/packages/node/nd-node.c
+++ b/packages/node/nd-node.c
@@ -55,6 +55,8 @@
 	node->shards = g_ptr_array_new();
 	node->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    NULL);
+	node->leaving.hosts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	node->warm = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   g_free);
 	node->works = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -91,6 +93,8 @@
 		qry_free(g_ptr_array_index(node->ended, i));
 	g_ptr_array_free(node->ended, TRUE);
 	g_hash_table_destroy(node->queries);
+	g_hash_table_destroy(node->leaving.hosts);
+	cfg_unref(node->view);
 	g_hash_table_destroy(node->warm);
 	g_hash_table_destroy(node->orders);
 	g_hash_table_destroy(node->orders_seen);
@@ -144,6 +148,7 @@
 	nd_begin(node, clock);
 	nd_member_tick(node);
 	nd_config_tick(node);
+	nd_leaving_tick(node);
 	nd_owner_tick(node);
 	nd_query_tick(node);
 	nd_order_tick(node);
--- a/packages/node/nd-owner.c
+++ b/packages/node/nd-owner.c
@@ -193,7 +193,7 @@
 			       node->metrics, &shard_ops, entry);
 	g_ptr_array_add(node->shards, entry);
 	g_ptr_array_index(owner->shards, index) = entry;
-	shd_follow(entry->shard, node->clock.now, cfg);
+	shd_follow(entry->shard, node->clock.now, node->view);
 	nd_warm_apply(node, entry);
 	return entry;
 }
@@ -230,12 +230,10 @@
 /* Lets each shard follow a new configuration. */
 void nd_owner_follow(struct node *node)
 {
-	const struct cfg *cfg = node->store.current;
-
 	for (guint i = 0; i < node->shards->len; i++) {
 		struct nd_shard *entry = g_ptr_array_index(node->shards, i);
 
-		shd_follow(entry->shard, node->clock.now, cfg);
+		shd_follow(entry->shard, node->clock.now, node->view);
 	}
 }
 
--- a/packages/node/nd-peer.c
+++ b/packages/node/nd-peer.c
@@ -17,6 +17,7 @@
 	[MSG_QUARANTINE] = nd_on_quarantine,
 	[MSG_WARM] = nd_on_warm,
 	[MSG_JOIN] = nd_on_join,
+	[MSG_LEAVING] = nd_on_leaving,
 };
 
 /* Sends one message; those to this VM are handled at the end of the input. */
--- a/packages/node/nd-warm.c
+++ b/packages/node/nd-warm.c
@@ -91,7 +91,7 @@
 /* Forgets the upstreams that are closed: they return cold. */
 void nd_warm_follow(struct node *node)
 {
-	cfg_each_replica(node->store.current, forget_closed, node);
+	cfg_each_replica(node->view, forget_closed, node);
 }
 
 /* Sends a member that came what this VM knows. */
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -128,13 +128,20 @@
 	ND_STORE_DOWN
 };
 
-enum nd_store_op { ND_STORE_READ, ND_STORE_WATCH, ND_STORE_WRITE };
+enum nd_store_op {
+	ND_STORE_READ,
+	ND_STORE_WATCH,
+	ND_STORE_WRITE,
+	ND_STORE_VMS
+};
 
 struct nd_store_result {
 	uint64_t tag; /* of the request */
 	enum nd_store_op op;
 	enum nd_store_status status;
 	struct cfg *cfg; /* borrowed; READ and WATCH */
+	const struct gb_str *leaving; /* VMS: hosts that leave */
+	uint32_t leaving_len;
 	uint64_t version; /* WRITE: the new version */
 };
 
@@ -156,6 +163,7 @@
 	void (*store_watch)(void *ctx, uint64_t tag, uint64_t after_version);
 	void (*store_write)(void *ctx, uint64_t tag, const struct cfg *cfg,
 			    uint64_t base_version);
+	void (*store_vms)(void *ctx, uint64_t tag);
 	void (*event)(void *ctx, const struct ev_event *event);
 };
 
--- a/packages/wire/tests/wire-test.c
+++ b/packages/wire/tests/wire-test.c
@@ -30,6 +30,8 @@
 
 static struct msg_warm_item warm_items[] = { { 140, 141 }, { 142, 143 } };
 
+static struct gb_str hosts[] = { { "127.0.0.7", 9 }, { "127.0.0.8", 9 } };
+
 /* Every member has a value of its own, so that a swap of two shows. */
 static const struct msg samples[MSG_KINDS] = {
 	[MSG_HEARTBEAT].heartbeat = { 11,
@@ -74,6 +76,7 @@
 	[MSG_OUTCOME].outcome = { { "k4", 2 }, { 111, 112, 113 }, { "o", 1 } },
 	[MSG_CONFIG_FETCH].config_fetch = { .have_version = 120 },
 	[MSG_QUARANTINE].quarantine = { .fingerprint = 130, .crashes = 131 },
+	[MSG_LEAVING].leaving = { hosts, G_N_ELEMENTS(hosts) },
 	[MSG_JOIN].join = { 150,
 			    { "vm-9", 4 },
 			    { "127.0.0.9", 9 },
--- a/packages/wire/wire-config.c
+++ b/packages/wire/wire-config.c
@@ -3,8 +3,6 @@
 
 #include <glib.h>
 
-#define WARM_SIZE 16 /* upstream, instance */
-
 static bool_t decode_config(XDR *xdrs, struct wire_body *body);
 
 bool_t wire_xdr_config_fetch(XDR *xdrs, struct wire_body *body)
@@ -61,33 +59,3 @@
 	return wire_xdr_u64(xdrs, &m->fingerprint) &&
 	       wire_xdr_u32(xdrs, &m->crashes);
 }
-
-bool_t wire_xdr_warm(XDR *xdrs, struct wire_body *body)
-{
-	struct msg_warm *m = &body->msg->warm;
-	uint32_t count = m->items_len;
-
-	if (!wire_xdr_count(xdrs, body, &count, WARM_SIZE))
-		return FALSE;
-	if (xdrs->x_op == XDR_DECODE) {
-		m->items = g_new0(struct msg_warm_item, count);
-		m->items_len = count;
-	}
-	for (uint32_t i = 0; i < count; i++)
-		if (!wire_xdr_u64(xdrs, &m->items[i].upstream) ||
-		    !wire_xdr_u64(xdrs, &m->items[i].instance))
-			return FALSE;
-	return TRUE;
-}
-
-bool_t wire_xdr_join(XDR *xdrs, struct wire_body *body)
-{
-	struct msg_join *m = &body->msg->join;
-
-	return wire_xdr_u64(xdrs, &m->config_version) &&
-	       wire_xdr_str(xdrs, body, &m->name) &&
-	       wire_xdr_str(xdrs, body, &m->host) &&
-	       wire_xdr_u32(xdrs, &m->peer_port) &&
-	       wire_xdr_u32(xdrs, &m->http_port) &&
-	       wire_xdr_str(xdrs, body, &m->dc);
-}
--- a/packages/wire/wire-row.c
+++ b/packages/wire/wire-row.c
@@ -16,6 +16,7 @@
 	[MSG_QUARANTINE] = { .xdr = wire_xdr_quarantine },
 	[MSG_WARM] = { .xdr = wire_xdr_warm },
 	[MSG_JOIN] = { .xdr = wire_xdr_join },
+	[MSG_LEAVING] = { .xdr = wire_xdr_leaving },
 };
 
 const struct wire_row *wire_row(uint32_t kind)
--- a/packages/wire/wire-row.h
+++ b/packages/wire/wire-row.h
@@ -48,6 +48,7 @@
 bool_t wire_xdr_quarantine(XDR *xdrs, struct wire_body *body);
 bool_t wire_xdr_warm(XDR *xdrs, struct wire_body *body);
 bool_t wire_xdr_join(XDR *xdrs, struct wire_body *body);
+bool_t wire_xdr_leaving(XDR *xdrs, struct wire_body *body);
 void wire_prepare_config(struct wire_body *body);
 
 /* Items. A decoded value outside its range is a failure. */
--- a/tests/scenario/scn-check.c
+++ b/tests/scenario/scn-check.c
@@ -41,6 +41,8 @@
 			   const struct scn_fact *fact);
 static void check_cold(struct scn_world *world, const struct scn_fact *fact);
 static void check_limits(struct scn_world *world, const struct scn_fact *fact);
+static void check_since(struct scn_world *world, GHashTable *closed,
+			const char *name);
 static void check_closed(struct scn_world *world, const struct scn_fact *fact);
 static void check_identity(struct scn_world *world,
 			   const struct scn_fact *fact);
@@ -247,10 +249,24 @@
 	}
 }
 
-/* A closed upstream gets nothing new after OUT_TIME. */
+/* Reports work that reaches an upstream too long after its closing. */
+static void check_since(struct scn_world *world, GHashTable *closed,
+			const char *name)
+{
+	const gb_time *since = g_hash_table_lookup(closed, name);
+
+	if (since && world->now - *since > OUT_TIME)
+		scn_violation(world, GB_STR("P4 P8"),
+			      "%s got work %.1f ms after it was closed", name,
+			      (double)(world->now - *since) / GB_MSEC);
+}
+
+/*
+ * An upstream that is closed by the configuration, or listed as leaving while
+ * the platform answers, gets nothing new after OUT_TIME.
+ */
 static void check_closed(struct scn_world *world, const struct scn_fact *fact)
 {
-	const gb_time *since;
 	char *name;
 
 	if (fact->kind == SCN_CONFIG_ACCEPTED)
@@ -258,11 +274,9 @@
 	if (fact->kind != SCN_UPSTREAM_RECEIVED)
 		return;
 	name = gb_str_to_c(fact->upstream->name);
-	since = g_hash_table_lookup(world->checks->closed, name);
-	if (since && world->now - *since > OUT_TIME)
-		scn_violation(world, GB_STR("P4 P8"),
-			      "%s got work %.1f ms after it was closed", name,
-			      (double)(world->now - *since) / GB_MSEC);
+	check_since(world, world->checks->closed, name);
+	if (!world->platform.down)
+		check_since(world, world->platform.leaving, name);
 	g_free(name);
 }
 
--- a/tests/scenario/scn-command.c
+++ b/tests/scenario/scn-command.c
@@ -36,6 +36,7 @@
 static void cmd_publish(struct scn_world *world, const struct scr_args *args);
 static void cmd_repartition(struct scn_world *world,
 			    const struct scr_args *args);
+static void cmd_vmlist(struct scn_world *world, const struct scr_args *args);
 static void cmd_show(struct scn_world *world, const struct scr_args *args);
 static void cmd_events(struct scn_world *world, const struct scr_args *args);
 static void cmd_mutate(struct scn_world *world, const struct scr_args *args);
@@ -96,6 +97,8 @@
 	{ GB_STR_INIT("confirm"), cmd_confirm, GB_STR_INIT("vm=N") },
 	{ GB_STR_INIT("publish"), cmd_publish,
 	  GB_STR_INIT("SERVICE id=N [docs=N]") },
+	{ GB_STR_INIT("vmlist"), cmd_vmlist,
+	  GB_STR_INIT("HOST leaving|live (an upstream's host is its name)") },
 	{ GB_STR_INIT("repartition"), cmd_repartition,
 	  GB_STR_INIT("SERVICE id=N shards=N [replicas=N] [docs=N]") },
 	{ GB_STR_INIT("show"), cmd_show,
@@ -157,7 +160,7 @@
 	gb_buf_addf(&name, "vm-%" PRId64, id);
 	if (!scr_int(args, GB_STR("spare"), 0)) {
 		config = cfg_add_vm(world->plan_cfg, id, gb_buf_str(&name),
-				    GB_STR("127.0.0.1"));
+				    gb_buf_str(&name));
 		config->dc = dc;
 	}
 	gb_buf_free(&name);
@@ -183,7 +186,7 @@
 			if (snapshot > 1)
 				gb_buf_addf(&name, "-s%" PRIu64, snapshot);
 			replica = cfg_add_replica(shard, gb_buf_str(&name),
-						  GB_STR("127.0.0.1"));
+						  gb_buf_str(&name));
 			replica->dc = (i + k) % dcs;
 			scn_upstream_add(world, gb_buf_str(&name), index, i,
 					 replica->dc);
@@ -506,6 +509,13 @@
 	cfg_unref(cfg);
 }
 
+static void cmd_vmlist(struct scn_world *world, const struct scr_args *args)
+{
+	scn_platform_set_leaving(
+		world, scr_word(args, 0),
+		gb_str_eq(scr_word(args, 1), GB_STR("leaving")));
+}
+
 /*
  * The index of a service is split into other shards: the old upstreams have
  * no newer snapshot and the new ones no older one.
--- a/tests/scenario/scn-platform.c
+++ b/tests/scenario/scn-platform.c
@@ -16,6 +16,7 @@
 	uint64_t tag;
 	uint64_t version; /* watch: news are newer; write: base */
 	struct cfg *cfg;
+	GArray *leaving; /* of struct gb_str */
 	enum nd_store_status status;
 	bool waiting;
 	uint32_t refs;
@@ -29,6 +30,8 @@
 static void send_reply(struct scn_world *world, struct store_call *call,
 		       gb_time delay);
 static void do_read(struct scn_world *world, void *data);
+static void free_host(gpointer data);
+static void do_vms(struct scn_world *world, void *data);
 static void do_watch(struct scn_world *world, void *data);
 static void end_watch(struct scn_world *world, void *data);
 static void do_write(struct scn_world *world, void *data);
@@ -55,6 +58,8 @@
 	if (--call->refs)
 		return;
 	cfg_unref(call->cfg);
+	if (call->leaving)
+		g_array_unref(call->leaving);
 	g_free(call);
 }
 
@@ -66,6 +71,8 @@
 		.op = call->op,
 		.status = call->status,
 		.cfg = call->op == ND_STORE_WRITE ? NULL : call->cfg,
+		.leaving = call->leaving ? (void *)call->leaving->data : NULL,
+		.leaving_len = call->leaving ? call->leaving->len : 0,
 		.version = call->version,
 	};
 
@@ -124,6 +131,50 @@
 	call_platform(call_new(vm, ND_STORE_READ, tag, 0), do_read);
 }
 
+static void free_host(gpointer data)
+{
+	gb_str_free(data);
+}
+
+static void do_vms(struct scn_world *world, void *data)
+{
+	struct store_call *call = data;
+	GHashTableIter iter;
+	gpointer key;
+
+	if (world->platform.down)
+		call->status = ND_STORE_DOWN;
+	call->leaving = g_array_new(FALSE, FALSE, sizeof(struct gb_str));
+	g_array_set_clear_func(call->leaving, free_host);
+	g_hash_table_iter_init(&iter, world->platform.leaving);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct gb_str host = gb_str_dup(gb_str_from_c(key));
+
+		g_array_append_val(call->leaving, host);
+	}
+	send_reply(world, call, PLATFORM_TIME / 2 + world->platform.slow);
+}
+
+void scn_platform_vms(struct scn_vm *vm, uint64_t tag)
+{
+	vm->world->platform.reads++;
+	call_platform(call_new(vm, ND_STORE_VMS, tag, 0), do_vms);
+}
+
+void scn_platform_set_leaving(struct scn_world *world, struct gb_str host,
+			      bool leaving)
+{
+	char *text = gb_str_to_c(host);
+
+	if (leaving) {
+		g_hash_table_replace(world->platform.leaving, text,
+				     g_memdup2(&world->now, sizeof(gb_time)));
+		return;
+	}
+	g_hash_table_remove(world->platform.leaving, text);
+	g_free(text);
+}
+
 static void end_watch(struct scn_world *world, void *data)
 {
 	struct store_call *call = data;
@@ -239,6 +290,7 @@
 void scn_platform_free(struct scn_platform *platform)
 {
 	g_ptr_array_free(platform->history, TRUE);
+	g_hash_table_destroy(platform->leaving);
 	g_ptr_array_free(platform->watches, TRUE);
 	cfg_unref(platform->object);
 }
--- a/tests/scenario/scn-vm.c
+++ b/tests/scenario/scn-vm.c
@@ -23,6 +23,7 @@
 static void store_watch(void *ctx, uint64_t tag, uint64_t after);
 static void store_write(void *ctx, uint64_t tag, const struct cfg *cfg,
 			uint64_t base);
+static void store_vms(void *ctx, uint64_t tag);
 static void event(void *ctx, const struct ev_event *ev);
 static void run_tick(struct scn_world *world, void *data);
 static void note_version(struct scn_vm *vm);
@@ -37,6 +38,7 @@
 	.store_read = store_read,
 	.store_watch = store_watch,
 	.store_write = store_write,
+	.store_vms = store_vms,
 	.event = event,
 };
 
@@ -122,6 +124,11 @@
 	scn_platform_write(ctx, tag, cfg, base);
 }
 
+static void store_vms(void *ctx, uint64_t tag)
+{
+	scn_platform_vms(ctx, tag);
+}
+
 static void event(void *ctx, const struct ev_event *ev)
 {
 	struct scn_vm *vm = ctx;
--- a/tests/scenario/scn-world.c
+++ b/tests/scenario/scn-world.c
@@ -34,6 +34,8 @@
 		(GDestroyNotify)scn_upstream_free);
 	world->upstream_by_name =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	world->platform.leaving =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	world->platform.watches = g_ptr_array_new();
 	world->platform.history =
 		g_ptr_array_new_with_free_func((GDestroyNotify)cfg_unref);
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -135,6 +135,7 @@
 	bool down;
 	gb_time slow;
 	uint32_t lose_writes; /* writes whose answers get lost */
+	GHashTable *leaving; /* host to the time of its listing */
 	GPtrArray *watches;
 	uint64_t reads, watches_count, writes;
 };
@@ -355,6 +356,11 @@
 void scn_platform_watch(struct scn_vm *vm, uint64_t tag, uint64_t after);
 void scn_platform_write(struct scn_vm *vm, uint64_t tag, const struct cfg *cfg,
 			uint64_t base);
+void scn_platform_vms(struct scn_vm *vm, uint64_t tag);
+
+/* Notes that the list of VMs shows a host as leaving, or no longer. */
+void scn_platform_set_leaving(struct scn_world *world, struct gb_str host,
+			      bool leaving);
 void scn_platform_put(struct scn_world *world, struct cfg *cfg);
 
 /* A snapshot that was published at some time; NULL if none was. */
