--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -6,6 +6,12 @@
 #define HURRY_FACTOR 6
 #define HURRY_TIME (2 * GB_SEC)
 
+/* Where tell_suspect() sends. */
+struct tell {
+	struct node *node;
+	uint32_t vm;
+};
+
 static bool eligible(const struct node *node);
 static void update_candidates(struct node *node);
 static void update_owners(struct node *node);
@@ -14,6 +20,8 @@
 static uint32_t count_units(const struct msg_units *units);
 static void report_units(struct node *node);
 static void send_heartbeat(struct node *node);
+static void tell_suspect(void *ctx, uint64_t fingerprint, uint32_t crashes);
+static bool is_new_process(struct node *node, const struct msg *msg);
 static void follow_voter(struct node *node);
 static void start_voter(struct node *node);
 
@@ -269,15 +277,43 @@
 	return heard >= cfg_majority(cfg);
 }
 
+static void tell_suspect(void *ctx, uint64_t fingerprint, uint32_t crashes)
+{
+	const struct tell *tell = ctx;
+	struct msg msg = {
+		.kind = MSG_QUARANTINE,
+		.quarantine = { .fingerprint = fingerprint,
+				.crashes = crashes },
+	};
+
+	nd_send(tell->node, tell->vm, &msg);
+}
+
+/* Tells whether the sender has started since it was last heard. */
+static bool is_new_process(struct node *node, const struct msg *msg)
+{
+	const struct quo_member *member =
+		quo_members_find(&node->members, msg->from);
+
+	return member && msg->heartbeat.incarnation > member->incarnation;
+}
+
 void nd_on_heartbeat(struct node *node, const struct msg *msg)
 {
 	const struct msg_heartbeat *heartbeat = &msg->heartbeat;
 	const struct cfg *cfg = node->store.current;
 	struct msg reply = { .kind = MSG_HEARTBEAT_REPLY };
+	struct tell tell = { .node = node, .vm = msg->from };
 
 	nd_config_heard(node, msg->from, heartbeat->config_version);
 	if (!cfg)
 		return;
+	/*
+	 * A new process has no memory of crashes. It hears of them before the
+	 * reply that may grant it units.
+	 */
+	if (is_new_process(node, msg))
+		sus_each(node->suspects, tell_suspect, &tell);
 	quo_members_heard(&node->members, node->clock.now, msg->from,
 			  heartbeat->incarnation, heartbeat->epoch,
 			  heartbeat->config_version);
--- a/packages/suspect/sus.c
+++ b/packages/suspect/sus.c
@@ -200,6 +200,18 @@
 		set_state(table, entry, SUS_SUSPECT);
 }
 
+void sus_each(const struct sus_table *table,
+	      void (*visit)(void *ctx, uint64_t fingerprint, uint32_t crashes),
+	      void *ctx)
+{
+	for (const GList *link = table->others.head; link; link = link->next) {
+		const struct entry *entry = link->data;
+
+		if (entry->crashes)
+			visit(ctx, entry->fingerprint, entry->crashes);
+	}
+}
+
 size_t sus_len(const struct sus_table *table)
 {
 	return g_hash_table_size(table->entries);
--- a/packages/suspect/sus.h
+++ b/packages/suspect/sus.h
@@ -55,6 +55,11 @@
 /* Takes over what another VM found. */
 void sus_learn(struct sus_table *table, gb_time now, uint64_t fingerprint,
 	       uint32_t crashes);
+
+/* Visits each request that crashed upstreams and was not cleared since. */
+void sus_each(const struct sus_table *table,
+	      void (*visit)(void *ctx, uint64_t fingerprint, uint32_t crashes),
+	      void *ctx);
 size_t sus_len(const struct sus_table *table);
 
 #endif
