--- a/tests/matrix/mtx-cell.c
+++ b/tests/matrix/mtx-cell.c
@@ -30,10 +30,11 @@
 #define BOUND (2 * GB_SEC)
 
 /*
- * Granters that started again vote on keys issued from then on: twice the clock
- * skew after they read the configuration, which they ask for every 200 ms.
+ * Granters that started again vote on keys issued from then on: their memory
+ * starts when the epoch has been settled for one lease, found at a heartbeat,
+ * and reaches back to twice the clock skew after that.
  */
-#define ORDER_BOUND (10 * GB_SEC + 200 * GB_MSEC)
+#define ORDER_BOUND (10 * GB_SEC + 1200 * GB_MSEC + 300 * GB_MSEC)
 
 #define PROBE_DEADLINE (500 * GB_MSEC)
 
