--- a/tests/scenario/scn-upstream.c
+++ b/tests/scenario/scn-upstream.c
@@ -24,6 +24,7 @@
 static void timeout(struct scn_world *world, void *data);
 static void arrive(struct scn_world *world, void *data);
 static void begin(struct scn_world *world, struct scn_call *call);
+static void stop(struct scn_world *world, void *data);
 static void finish(struct scn_world *world, void *data);
 static void end_call(struct scn_world *world, struct scn_call *call,
 		     enum nd_upstream_status status);
@@ -319,7 +320,8 @@
 	/* The daemon names the time left once it has a connection. */
 	sent->stop_at = world->now + hop + call->timeout;
 	scn_after(world, hop + extra, arrive, call_ref(sent));
-	scn_after(world, call->timeout, timeout, call_ref(sent));
+	scn_after(world, call->timeout + ND_ANSWER_GRACE, timeout,
+		  call_ref(sent));
 }
 
 static void arrive(struct scn_world *world, void *data)
@@ -367,6 +369,7 @@
 		return;
 	}
 	g_ptr_array_add(upstream->calls, call);
+	scn_after(world, call->stop_at - world->now, stop, call_ref(call));
 	upstream->peak_load =
 		MAX(upstream->peak_load, scn_upstream_load(upstream) + 1);
 	if (upstream->running < service->limits.slots)
@@ -393,9 +396,7 @@
 	if (*text && strstr(body, text))
 		scn_after(world, CRASH_AFTER, crash, call_ref(call));
 	else
-		scn_after(world,
-			  MIN((gb_time)gb_rng_exponential(&world->rng, mean),
-			      call->stop_at - world->now),
+		scn_after(world, (gb_time)gb_rng_exponential(&world->rng, mean),
 			  finish, call_ref(call));
 	g_free(body);
 	g_free(text);
@@ -408,14 +409,8 @@
 		scn_service(world, upstream->service);
 
 	while (upstream->running < service->limits.slots &&
-	       !g_queue_is_empty(upstream->waiting)) {
-		struct scn_call *call = g_queue_pop_head(upstream->waiting);
-
-		if (world->now >= call->stop_at)
-			end_call(world, call, ND_UPSTREAM_TIMEOUT);
-		else
-			begin(world, call);
-	}
+	       !g_queue_is_empty(upstream->waiting))
+		begin(world, g_queue_pop_head(upstream->waiting));
 }
 
 /* Takes a call off its upstream and answers it. */
@@ -439,6 +434,20 @@
 	start_waiting(world, upstream);
 }
 
+/* The upstream's own deadline for a call has passed. */
+static void stop(struct scn_world *world, void *data)
+{
+	struct scn_call *call = data;
+
+	if (!call->ended && call->upstream->frozen_until > world->now) {
+		scn_after(world, call->upstream->frozen_until - world->now,
+			  stop, call);
+		return;
+	}
+	end_call(world, call, ND_UPSTREAM_TIMEOUT);
+	scn_call_unref(call);
+}
+
 static void finish(struct scn_world *world, void *data)
 {
 	struct scn_call *call = data;
@@ -448,9 +457,7 @@
 			  finish, call);
 		return;
 	}
-	end_call(world, call,
-		 world->now >= call->stop_at ? ND_UPSTREAM_TIMEOUT
-					     : ND_UPSTREAM_OK);
+	end_call(world, call, ND_UPSTREAM_OK);
 	scn_call_unref(call);
 }
 
