--- a/tests/scenario/scn-upstream.c
+++ b/tests/scenario/scn-upstream.c
@@ -317,7 +317,8 @@
 		give(world, sent, ND_UPSTREAM_NOT_SENT, 2 * hop);
 		return;
 	}
-	sent->stop_at = world->now + hop + extra + call->timeout;
+	/* The daemon names the time left once it has a connection. */
+	sent->stop_at = world->now + hop + call->timeout;
 	scn_after(world, hop + extra, arrive, call_ref(sent));
 	scn_after(world, call->timeout + ND_ANSWER_GRACE, timeout,
 		  call_ref(sent));
@@ -346,7 +347,7 @@
 		return;
 	}
 	/* Upstreams accept deadlines: what is read too late is not begun. */
-	if (world->now > call->stop_at) {
+	if (world->now >= call->stop_at) {
 		give(world, call, ND_UPSTREAM_TIMEOUT, hop);
 		scn_call_unref(call);
 		return;
