--- /dev/null
+++ b/tests/process/cold.sh
@@ -0,0 +1,30 @@
+# An upstream process dies under load and comes back, cold and with another
+# identity. Guards against more work than its cold slots while it is cold.
+bench_args=(--slots 4 --queue 2 --connections 25 --connect-ms 2
+	--service-us 3000 --cold-ms 1000 --cold-slots 1)
+bench_limits='"slots":4,"queue":2,"connections":25,"cold_slots":1,"ramp_ms":1000'
+shards=3
+fleet_start
+# The upstreams were cold at their own start too, before the VMs sent.
+load_start 8 0 0 1 2 3
+load_more 100
+port=${replica_port[bench-0-a]}
+for round in 1 2 3; do
+	control "$port" '{"die":true,"for_ms":500}'
+	holds "round $round: it comes back" until_true 20 stats "$port"
+	begun=$(stats "$port" | pick begun)
+	works_again() {
+		[ "$(stats "$port" | pick begun)" -gt $((begun + 20)) ]
+	}
+	holds "round $round: it receives work again" until_true 30 works_again
+done
+load_stop
+fact "deaths" "$(stats "$port" | pick deaths)"
+at_most "most in flight while cold" 1 "$(stats "$port" | pick cold_most)"
+# shellcheck disable=SC2046
+at_most "most in flight at a search upstream" 6 \
+	"$(most in_flight_most $(bench_ports))"
+for i in 0 1 2 3; do
+	holds "vm$((i + 1)) finds all records" until_true 20 coverage_is_full $i
+done
+end_test
