--- a/packages/config/cfg.h
+++ b/packages/config/cfg.h
@@ -114,6 +114,8 @@
 				    struct gb_str host);
 struct cfg_snapshot *cfg_add_snapshot(struct cfg_service *service, uint64_t id);
 void cfg_set_policy(struct cfg_service *service, struct gb_str policy);
+/* Takes over the shards and snapshots of another service. */
+void cfg_set_partition(struct cfg_service *to, const struct cfg_service *from);
 void cfg_remove_vm(struct cfg *cfg, uint32_t index);
 
 /* Removes the oldest snapshots so that at most keep are left. */
@@ -151,6 +153,12 @@
 uint64_t cfg_snapshot_docs(const struct cfg_snapshot *snapshot);
 uint64_t cfg_shard_docs(const struct cfg_snapshot *snapshot, uint32_t shard);
 
+/* Calls fn for each replica of each shard of each service. */
+typedef void (*cfg_replica_fn)(void *ctx, const struct cfg *cfg,
+			       const struct cfg_service *service,
+			       const struct cfg_replica *replica);
+void cfg_each_replica(const struct cfg *cfg, cfg_replica_fn fn, void *ctx);
+
 /* The first CFG_GRANTERS_MAX VMs by id are the granters of the cell. */
 uint32_t cfg_granters(const struct cfg *cfg);
 uint32_t cfg_majority(const struct cfg *cfg);
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -131,6 +131,7 @@
 /* PLATFORM */
 struct scn_platform {
 	struct cfg *object;
+	GPtrArray *history; /* all that were accepted, oldest first */
 	bool down;
 	gb_time slow;
 	uint32_t lose_writes; /* writes whose answers get lost */
@@ -212,6 +213,8 @@
 	bool answered;
 	bool quiet; /* part of a load: no line in the trace */
 	bool lost; /* the caller gave up without an answer */
+	enum gb_code code; /* of the answer */
+	double coverage;
 };
 
 /* What a load saw. */
@@ -293,6 +296,9 @@
 			     struct scn_request *request);
 	void (*call_ended)(struct scn_world *world, struct scn_call *call,
 			   enum nd_upstream_status status, uint64_t docs);
+	/* Sees every message that is sent to a running VM; may be NULL. */
+	void (*on_message)(struct scn_world *world, const struct scn_vm *from,
+			   const struct scn_vm *to, const struct msg *msg);
 };
 
 /* scn-world.c */
@@ -350,6 +356,10 @@
 void scn_platform_write(struct scn_vm *vm, uint64_t tag, const struct cfg *cfg,
 			uint64_t base);
 void scn_platform_put(struct scn_world *world, struct cfg *cfg);
+
+/* A snapshot that was published at some time; NULL if none was. */
+const struct cfg_snapshot *scn_snapshot(const struct scn_world *world,
+					struct gb_str service, uint64_t id);
 void scn_platform_free(struct scn_platform *platform);
 
 /* scn-mutate.c */
