daemon: write upstream requests without printf

Cause: under one-fanout100 the printf family took about a quarter of the daemon's user instructions; each request ran seven formats, each twice. Change: append the fixed parts and the digits directly.

--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -25,6 +25,8 @@
 	void (*take)(struct gd_upstream_call *call, struct gb_str value);
 };
 
+static void put_number(struct gb_buf *out, uint64_t value);
+static void put_hex(struct gb_buf *out, uint64_t value);
 static bool call_prepare(struct gd_exchange *x, struct gb_buf *out);
 static void call_header(struct gd_exchange *x, struct gb_str name,
 			struct gb_str value);
@@ -141,6 +143,31 @@
 	gd_exchange_start(gd, &call->x, endpoint, request->timeout, false);
 }
 
+/* Appends a decimal number; printf would take most of a request's time. */
+static void put_number(struct gb_buf *out, uint64_t value)
+{
+	char digits[20];
+	size_t at = sizeof(digits);
+
+	do {
+		digits[--at] = '0' + value % 10;
+		value /= 10;
+	} while (value);
+	gb_buf_add(out, (struct gb_str){ .ptr = digits + at,
+					 .len = sizeof(digits) - at });
+}
+
+/* Appends an attempt identity as its 16 hexadecimal digits. */
+static void put_hex(struct gb_buf *out, uint64_t value)
+{
+	char digits[16];
+
+	for (size_t at = sizeof(digits); at-- > 0; value >>= 4)
+		digits[at] = "0123456789abcdef"[value & 0xf];
+	gb_buf_add(out,
+		   (struct gb_str){ .ptr = digits, .len = sizeof(digits) });
+}
+
 /* Writes the request if the lease and the deadline still permit it. */
 static bool call_prepare(struct gd_exchange *x, struct gb_buf *out)
 {
@@ -150,22 +177,29 @@
 
 	if (now >= request->expires || now >= call->deadline)
 		return false;
-	gb_buf_addf(out, "POST /shard/%u/%s HTTP/1.1\r\nHost: %.*s:%u\r\n",
-		    request->shard, request->order ? "order" : "lookup",
-		    (int)request->host.len, request->host.ptr, request->port);
-	gb_buf_addf(out, "Service: %.*s\r\n", (int)request->service.len,
-		    request->service.ptr);
-	gb_buf_addf(out, "Attempt-Id: %016" PRIx64 "\r\n", request->call);
-	gb_buf_addf(out, "Snapshot: %" PRIu64 "\r\n", request->snapshot);
-	gb_buf_addf(out, "Timeout-Us: %" PRId64 "\r\n",
-		    MIN(call->deadline, request->expires) - now);
-	if (request->order)
-		gb_buf_addf(out, "Idempotency-Key: %.*s\r\n",
-			    (int)request->key.len, request->key.ptr);
-	gb_buf_addf(out,
-		    "Content-Type: application/json\r\n"
-		    "Content-Length: %zu\r\n\r\n",
-		    request->body.len);
+	gb_buf_add(out, GB_STR("POST /shard/"));
+	put_number(out, request->shard);
+	gb_buf_add(out, request->order ? GB_STR("/order") : GB_STR("/lookup"));
+	gb_buf_add(out, GB_STR(" HTTP/1.1\r\nHost: "));
+	gb_buf_add(out, request->host);
+	gb_buf_addc(out, ':');
+	put_number(out, request->port);
+	gb_buf_add(out, GB_STR("\r\nService: "));
+	gb_buf_add(out, request->service);
+	gb_buf_add(out, GB_STR("\r\nAttempt-Id: "));
+	put_hex(out, request->call);
+	gb_buf_add(out, GB_STR("\r\nSnapshot: "));
+	put_number(out, request->snapshot);
+	gb_buf_add(out, GB_STR("\r\nTimeout-Us: "));
+	put_number(out, MIN(call->deadline, request->expires) - now);
+	if (request->order) {
+		gb_buf_add(out, GB_STR("\r\nIdempotency-Key: "));
+		gb_buf_add(out, request->key);
+	}
+	gb_buf_add(out, GB_STR("\r\nContent-Type: application/json\r\n"
+			       "Content-Length: "));
+	put_number(out, request->body.len);
+	gb_buf_add(out, GB_STR("\r\n\r\n"));
 	gb_buf_add(out, request->body);
 	return true;
 }
