--- a/packages/daemon/gd-client.c
+++ b/packages/daemon/gd-client.c
@@ -16,7 +16,8 @@
 static void endpoint_free(struct gd *gd, void *arg);
 static void on_unused(uv_timer_t *timer);
 static void on_unused_closed(uv_handle_t *handle);
-static gboolean is_value(gpointer key, gpointer value, gpointer data);
+static guint endpoint_hash(gconstpointer key);
+static gboolean endpoint_equal(gconstpointer a, gconstpointer b);
 static void endpoint_pump_later(struct gd_endpoint *endpoint);
 static void endpoint_pump(struct gd *gd, void *arg);
 static void exchange_connect(struct gd_exchange *x);
@@ -43,14 +44,21 @@
 	h2o_timeout_init(gd->uv, &client->io_timeout, IO_TIMEOUT_MS);
 	client->ctx.loop = gd->uv;
 	client->ctx.io_timeout = &client->io_timeout;
-	client->endpoints =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	client->endpoints = g_hash_table_new(endpoint_hash, endpoint_equal);
 }
 
-static gboolean is_value(gpointer key __attribute__((unused)), gpointer value,
-			 gpointer data)
+static guint endpoint_hash(gconstpointer key)
 {
-	return value == data;
+	const struct gd_endpoint *endpoint = key;
+
+	return gb_hash(endpoint->host, endpoint->port);
+}
+
+static gboolean endpoint_equal(gconstpointer a, gconstpointer b)
+{
+	const struct gd_endpoint *x = a, *y = b;
+
+	return x->port == y->port && gb_str_eq(x->host, y->host);
 }
 
 /* Forgets an endpoint, such as that of a replica that was removed. */
@@ -58,8 +66,7 @@
 {
 	struct gd_endpoint *endpoint = timer->data;
 
-	g_hash_table_foreach_remove(endpoint->gd->client.endpoints, is_value,
-				    endpoint);
+	g_hash_table_remove(endpoint->gd->client.endpoints, endpoint);
 	h2o_socketpool_dispose(&endpoint->pool);
 	uv_close((uv_handle_t *)timer, on_unused_closed);
 }
@@ -74,15 +81,18 @@
 
 static void endpoint_free(struct gd *gd __attribute__((unused)), void *arg)
 {
-	g_free(arg);
+	struct gd_endpoint *endpoint = arg;
+
+	gb_str_free(&endpoint->host);
+	g_free(endpoint);
 }
 
 struct gd_endpoint *gd_endpoint(struct gd *gd, struct gb_str host,
 				uint16_t port, uint32_t limit)
 {
-	char *key = g_strdup_printf("%.*s:%u", (int)host.len, host.ptr, port);
+	const struct gd_endpoint key = { .host = host, .port = port };
 	struct gd_endpoint *endpoint =
-		g_hash_table_lookup(gd->client.endpoints, key);
+		g_hash_table_lookup(gd->client.endpoints, &key);
 	struct sockaddr_storage addr = { 0 };
 	socklen_t len;
 
@@ -92,17 +102,18 @@
 		goto out;
 	endpoint = g_new0(struct gd_endpoint, 1);
 	endpoint->gd = gd;
+	endpoint->host = gb_str_dup(host);
+	endpoint->port = port;
 	g_queue_init(&endpoint->waiting);
 	uv_timer_init(gd->uv, &endpoint->unused);
 	endpoint->unused.data = endpoint;
 	h2o_socketpool_init_by_address(
 		&endpoint->pool, (struct sockaddr *)&addr, len, 0, SIZE_MAX);
 	h2o_socketpool_set_timeout(&endpoint->pool, gd->uv, POOL_IDLE_MS);
-	g_hash_table_insert(gd->client.endpoints, g_strdup(key), endpoint);
+	g_hash_table_add(gd->client.endpoints, endpoint);
 out:
 	if (endpoint)
 		endpoint->limit = MAX(limit, 1);
-	g_free(key);
 	return endpoint;
 }
 
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -67,7 +67,7 @@
 struct gd_client {
 	h2o_timeout_t io_timeout;
 	h2o_http1client_ctx_t ctx;
-	GHashTable *endpoints; /* "host:port" to struct gd_endpoint */
+	GHashTable *endpoints; /* set of struct gd_endpoint */
 };
 
 struct gd_peers {
@@ -211,6 +211,8 @@
 
 struct gd_endpoint {
 	struct gd *gd;
+	struct gb_str host;
+	uint16_t port;
 	h2o_socketpool_t pool;
 	uint32_t limit;
 	uint32_t active;
