daemon: allocate once for a request's strings and once for its text

Cause: five copied strings and four steps of growth of the request's buffer made malloc() and free() 14% of the user instructions. Change: the strings share one block, and the buffer begins at its size.

--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -1,12 +1,18 @@
 #include "daemon/gd.h"
 
+#include <string.h>
+
+/* Room for the head of a request, so that its buffer grows once. */
+#define HEAD_SIZE 448
+
 /* A cancellation is worth little after this time. */
 #define CANCEL_TIMEOUT GB_SEC
 
 struct gd_upstream_call {
 	struct gd_exchange x; /* first, so that one is cast to the other */
 	struct gd *gd;
-	struct nd_upstream_call call; /* strings are owned */
+	struct nd_upstream_call call; /* its strings are in strings */
+	char *strings;
 	struct nd_upstream_result result;
 	struct gd_upstream_cancel *cancel; /* under way, else NULL */
 	gb_time deadline;
@@ -27,6 +33,7 @@
 
 static void put_number(struct gb_buf *out, uint64_t value);
 static void put_hex(struct gb_buf *out, uint64_t value);
+static void copy_strings(struct gd_upstream_call *call);
 static bool call_prepare(struct gd_exchange *x, struct gb_buf *out);
 static void call_header(struct gd_exchange *x, struct gb_str name,
 			struct gb_str value);
@@ -128,6 +135,25 @@
 	call->not_run = gb_str_eq(value, GB_STR("1"));
 }
 
+/* Makes the strings of the call its own, in one block. */
+static void copy_strings(struct gd_upstream_call *call)
+{
+	struct nd_upstream_call *of = &call->call;
+	struct gb_str *all[] = { &of->service, &of->replica, &of->host,
+				 &of->key, &of->body };
+	size_t size = 0, used = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
+		size += all[i]->len;
+	call->strings = g_malloc(size);
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
+		if (all[i]->len)
+			memcpy(call->strings + used, all[i]->ptr, all[i]->len);
+		all[i]->ptr = call->strings + used;
+		used += all[i]->len;
+	}
+}
+
 void gd_upstream_send(struct gd *gd, const struct nd_upstream_call *request)
 {
 	struct gd_upstream_call *call = g_new0(struct gd_upstream_call, 1);
@@ -135,11 +161,7 @@
 
 	call->gd = gd;
 	call->call = *request;
-	call->call.service = gb_str_dup(request->service);
-	call->call.replica = gb_str_dup(request->replica);
-	call->call.host = gb_str_dup(request->host);
-	call->call.key = gb_str_dup(request->key);
-	call->call.body = gb_str_dup(request->body);
+	copy_strings(call);
 	call->deadline = gd_now() + request->timeout;
 	call->result.call = request->call;
 	call->result.shard = request->shard;
@@ -193,6 +215,8 @@
 
 	if (now >= request->expires || now >= call->deadline)
 		return false;
+	out->cap = HEAD_SIZE + request->body.len;
+	out->ptr = g_malloc(out->cap);
 	gb_buf_add(out, GB_STR("POST /shard/"));
 	put_number(out, request->shard);
 	gb_buf_add(out, request->order ? GB_STR("/order") : GB_STR("/lookup"));
@@ -309,11 +333,7 @@
 		call->result.status = ND_UPSTREAM_ERROR;
 	nd_upstream_done(gd->node, gd_clock(), &call->result);
 	gd_exchange_clear(&call->x);
-	gb_str_free(&call->call.service);
-	gb_str_free(&call->call.replica);
-	gb_str_free(&call->call.host);
-	gb_str_free(&call->call.key);
-	gb_str_free(&call->call.body);
+	g_free(call->strings);
 	g_free(call);
 }
 
