--- /dev/null
+++ b/bench/common-run.c
@@ -0,0 +1,169 @@
+#include "bench/common.h"
+
+#include "node/nd-internal.h"
+
+#include <stdio.h>
+
+#define REPLICAS 2
+#define SLOTS 2
+#define MEAN_MS 5.0
+#define SLOW_FACTOR 10.0
+
+/* VMs take their leases and the histograms fill before the measure. */
+#define SETTLE (12 * GB_SEC)
+#define WARM_UP (8 * GB_SEC)
+
+/* Part of the settling time in which only heartbeats are sent. */
+#define QUIET (4 * GB_SEC)
+
+static void set_policy(struct scn_world *world,
+		       const struct bpl_policy *policy);
+static double settle(struct scn_world *world, const struct bpl_policy *policy);
+static uint64_t received(const struct scn_world *world);
+static void sum_upstreams(const struct scn_world *world,
+			  struct bpl_result *result);
+
+double bpl_capacity(uint32_t slow_permille)
+{
+	double slow = slow_permille / 1000.0;
+	double mean = MEAN_MS * (1 - slow + slow * SLOW_FACTOR);
+
+	return REPLICAS * SLOTS * 1000.0 / mean;
+}
+
+struct scn_world *bpl_world(const struct bpl_run *run, uint64_t seed)
+{
+	static const char *const lines[] = {
+		"dc dc-a",	"dc dc-b",	"dc dc-c",	"vm 1 dc=dc-a",
+		"vm 2 dc=dc-b", "vm 3 dc=dc-c", "vm 4 dc=dc-b",
+	};
+	struct scn_world *world = scn_new(seed);
+	struct gb_buf line = GB_BUF_INIT;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
+		scn_command(world, gb_str_from_c(lines[i]));
+	gb_buf_addf(&line,
+		    "service bench-assist shards=%d replicas=%d slots=%d "
+		    "queue=1 backlog=%d connections=25 connect_us=6000 "
+		    "mean_us=%d slow_permille=%u slow_factor=%d",
+		    BPL_SHARDS, REPLICAS, SLOTS, run->strict ? 1 : 23,
+		    (int)(MEAN_MS * 1000), run->slow_permille,
+		    (int)SLOW_FACTOR);
+	scn_command(world, gb_buf_str(&line));
+	gb_buf_free(&line);
+	return world;
+}
+
+/* Gives the service of each VM the table and budget of the row. */
+static void set_policy(struct scn_world *world, const struct bpl_policy *policy)
+{
+	for (uint32_t i = 0; i < world->vms; i++) {
+		struct node *node = world->vm[i].node;
+		struct shd_service *service =
+			&nd_service_get(node,
+					cfg_service(node->store.current, 0))
+				 ->shared;
+
+		if (policy->ops)
+			service->policy = policy->ops;
+		if (policy->permille)
+			pol_budget_init(&service->budget, policy->permille);
+	}
+}
+
+/* Starts the world; returns the heartbeats per second. */
+static double settle(struct scn_world *world, const struct bpl_policy *policy)
+{
+	uint64_t before;
+
+	if (!policy->product) {
+		bpl_baseline_start(world, policy);
+		scn_command(world, GB_STR("start vms=0"));
+		return 0;
+	}
+	if (policy->configure)
+		policy->configure(world);
+	scn_command(world, GB_STR("start"));
+	scn_run(world, SETTLE - QUIET);
+	before = world->net.messages;
+	scn_run(world, QUIET);
+	set_policy(world, policy);
+	if (policy->adjust)
+		policy->adjust(world);
+	return (double)(world->net.messages - before) * GB_SEC / QUIET;
+}
+
+static uint64_t received(const struct scn_world *world)
+{
+	uint64_t sum = 0;
+
+	for (guint i = 0; i < world->upstreams->len; i++) {
+		const struct scn_upstream *u =
+			g_ptr_array_index(world->upstreams, i);
+
+		sum += u->received;
+	}
+	return sum;
+}
+
+static void sum_upstreams(const struct scn_world *world,
+			  struct bpl_result *result)
+{
+	for (guint i = 0; i < world->upstreams->len; i++) {
+		const struct scn_upstream *u =
+			g_ptr_array_index(world->upstreams, i);
+
+		result->shed += u->shed;
+		result->peak = MAX(result->peak, u->peak_load);
+		result->connections =
+			MAX(result->connections, u->peak_connections);
+	}
+}
+
+void bpl_measure(const struct bpl_run *run, const struct bpl_policy *policy,
+		 uint64_t seed, struct bpl_result *result)
+{
+	struct scn_world *world = bpl_world(run, seed);
+	double rate = run->load * bpl_capacity(10);
+	gb_time duration = run->duration ? run->duration : 20 * GB_SEC;
+	gb_time deadline = run->deadline ? run->deadline : GB_SEC;
+	uint32_t bodies = run->bodies ? run->bodies : 2000;
+	double heartbeats = settle(world, policy);
+	uint64_t before, messages;
+	struct scn_tally *t;
+
+	*result = (struct bpl_result){ 0 };
+	scn_load_start(world, 0, rate, WARM_UP, deadline, bodies, false);
+	scn_run(world, WARM_UP);
+	before = received(world);
+	messages = world->net.messages;
+	if (run->fault)
+		run->fault(world);
+	t = &scn_load_start(world, 0, rate, duration, deadline, bodies, false)
+		     ->tally;
+	scn_run(world, duration);
+	result->extra =
+		100.0 * ((double)(received(world) - before) /
+				 ((double)(t->sent - t->refused) * BPL_SHARDS) -
+			 1);
+	result->messages = ((double)(world->net.messages - messages) -
+			    heartbeats * (double)duration / GB_SEC) /
+			   MAX((double)(t->sent - t->refused), 1);
+	sum_upstreams(world, result);
+	scn_run(world, 3 * GB_SEC);
+	result->p50 = (double)scn_tally_quantile(t, 0.5) / GB_MSEC;
+	result->p99 = (double)scn_tally_quantile(t, 0.99) / GB_MSEC;
+	result->p999 = (double)scn_tally_quantile(t, 0.999) / GB_MSEC;
+	result->goodput = (double)t->complete * GB_SEC / (double)duration;
+	result->coverage =
+		t->coverage_sum / MAX((double)(t->complete + t->partial), 1);
+	result->refusal = (double)t->refusal_max / GB_MSEC;
+	result->tally = *t;
+	result->tally.times = NULL;
+	result->violations = policy->product ? world->violations : 0;
+	if (result->violations && !policy->configure && !policy->adjust)
+		fwrite(world->trace.ptr, 1, world->trace.len, stderr);
+	scn_free(world);
+	if (!policy->product)
+		bpl_baseline_free(world);
+}
--- /dev/null
+++ b/bench/variants-lease.c
@@ -0,0 +1,259 @@
+#include "bench/variants.h"
+
+#include "wire/wire.h"
+
+#include <stdio.h>
+
+/* Resolution of the times measured here. */
+#define STEP (500 * GB_USEC)
+
+#define CHANGES 50
+#define KILLS 8
+
+struct times {
+	double min, max, sum;
+	uint32_t count;
+};
+
+struct lease_row {
+	gb_time lease;
+	gb_time heartbeat;
+};
+
+struct fresh_row {
+	struct gb_str name;
+	struct gb_str fault; /* a command for the whole run */
+	bool cut; /* the last VM hears nobody from just before each change */
+	bool deaf; /* and the platform's answers do not reach it either */
+};
+
+typedef bool (*condition)(struct scn_world *world, uint64_t arg);
+
+static void add_time(struct times *times, gb_time taken);
+static gb_time until(struct scn_world *world, condition holds, uint64_t arg);
+static struct nd_status status_of(const struct scn_vm *vm);
+static bool all_units_held(struct scn_world *world, uint64_t arg);
+static bool in_force(struct scn_world *world, uint64_t version);
+static size_t size_of(struct msg *msg);
+static void measure_lease(const struct lease_row *row, uint64_t seeds);
+static void change_config(struct scn_world *world);
+static bool is_last(struct scn_vm *vm);
+static void cut_last(struct scn_world *world, bool deaf);
+static void heal(struct scn_world *world);
+static void measure_fresh(const struct fresh_row *row, uint64_t seeds);
+
+static const struct bpl_run idle = { .name = GB_STR_INIT("idle") };
+
+static void add_time(struct times *times, gb_time taken)
+{
+	double ms = (double)taken / GB_MSEC;
+
+	times->min = times->count ? MIN(times->min, ms) : ms;
+	times->max = MAX(times->max, ms);
+	times->sum += ms;
+	times->count++;
+}
+
+/* Runs the world until the condition holds; returns the time taken. */
+static gb_time until(struct scn_world *world, condition holds, uint64_t arg)
+{
+	gb_time begin = world->now;
+
+	while (!holds(world, arg) && world->now - begin < 60 * GB_SEC)
+		scn_run(world, STEP);
+	return world->now - begin;
+}
+
+static struct nd_status status_of(const struct scn_vm *vm)
+{
+	struct nd_status status = { 0 };
+
+	if (vm->node)
+		nd_status(vm->node, scn_vm_clock(vm), &status);
+	return status;
+}
+
+static bool all_units_held(struct scn_world *world, uint64_t arg)
+{
+	uint32_t held = 0;
+
+	(void)arg;
+	for (uint32_t i = 0; i < world->vms; i++)
+		held += status_of(&world->vm[i]).units_held;
+	return held == CFG_UNITS;
+}
+
+/* Each VM has the version, or holds no unit and refuses callers. */
+static bool in_force(struct scn_world *world, uint64_t version)
+{
+	for (uint32_t i = 0; i < world->vms; i++) {
+		struct nd_status status = status_of(&world->vm[i]);
+
+		if (status.config_version < version &&
+		    (status.units_held || status.ready))
+			return false;
+	}
+	return true;
+}
+
+static size_t size_of(struct msg *msg)
+{
+	struct gb_buf buf = GB_BUF_INIT;
+	size_t size;
+
+	g_assert_cmpint(wire_encode(msg, &buf), ==, 0);
+	size = buf.len;
+	gb_buf_free(&buf);
+	return size;
+}
+
+/* Kills one VM after the other, at random moments, and starts it again. */
+static void measure_lease(const struct lease_row *row, uint64_t seeds)
+{
+	struct msg beat = { .kind = MSG_HEARTBEAT };
+	struct msg reply = { .kind = MSG_HEARTBEAT_REPLY };
+	struct times times = { 0 };
+	double messages = 0;
+
+	for (uint64_t seed = 1; seed <= seeds; seed++) {
+		struct scn_world *world = bpl_world(&idle, seed);
+		uint64_t before;
+
+		world->settings.lease = row->lease;
+		world->settings.heartbeat = row->heartbeat;
+		world->settings.suspect_after = 3 * row->heartbeat;
+		scn_command(world, GB_STR("start"));
+		scn_run(world, 20 * GB_SEC);
+		before = world->net.messages;
+		scn_run(world, 10 * GB_SEC);
+		messages += (double)(world->net.messages - before) / 10 /
+			    world->vms / (double)seeds;
+		for (uint32_t i = 0; i < KILLS; i++) {
+			scn_run(world, (gb_time)gb_rng_below(&world->rng,
+							     row->heartbeat));
+			scn_vm_kill(world, i % world->vms);
+			add_time(&times, until(world, all_units_held, 0));
+			scn_vm_start(world, i % world->vms);
+			scn_run(world, 20 * GB_SEC);
+		}
+		scn_free(world);
+	}
+	printf("%6.0f %9.0f %5u %7.0f %7.0f %7.0f %9.1f %8.0f\n",
+	       (double)row->lease / GB_MSEC, (double)row->heartbeat / GB_MSEC,
+	       times.count, times.min, times.sum / times.count, times.max,
+	       messages,
+	       messages * (double)(size_of(&beat) + size_of(&reply)) / 2);
+}
+
+void var_leases(uint64_t seeds)
+{
+	static const struct lease_row rows[] = {
+		{ 600 * GB_MSEC, 150 * GB_MSEC },
+		{ 1200 * GB_MSEC, 150 * GB_MSEC },
+		{ 1200 * GB_MSEC, 300 * GB_MSEC },
+		{ 1200 * GB_MSEC, 500 * GB_MSEC },
+		{ 2400 * GB_MSEC, 300 * GB_MSEC },
+		{ 2400 * GB_MSEC, 600 * GB_MSEC },
+	};
+
+	printf("Time from a kill until the other VMs hold all units; messages "
+	       "and bytes sent per VM and second, without TCP.\n");
+	printf("%6s %9s %5s %7s %7s %7s %9s %8s\n", "lease", "heartbeat",
+	       "kills", "min", "mean", "max", "messages", "bytes");
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		measure_lease(&rows[i], seeds);
+}
+
+/* Writes a next version to the platform, as another client would. */
+static void change_config(struct scn_world *world)
+{
+	struct cfg *cfg = cfg_copy(world->platform.object);
+
+	cfg->version++;
+	scn_platform_put(world, cfg);
+	cfg_unref(cfg);
+}
+
+static bool is_last(struct scn_vm *vm)
+{
+	return vm->index == vm->world->vms - 1;
+}
+
+static void cut_last(struct scn_world *world, bool deaf)
+{
+	static const struct scn_mutation mutation = { .store = is_last };
+
+	uint32_t last = world->vms - 1;
+
+	for (uint32_t i = 0; i < last; i++) {
+		world->net.link[last][i].cut = true;
+		world->net.link[i][last].cut = true;
+	}
+	world->mutation = deaf ? &mutation : NULL;
+}
+
+static void heal(struct scn_world *world)
+{
+	scn_command(world, GB_STR("heal"));
+	world->mutation = NULL;
+	scn_run(world, 5 * GB_SEC);
+}
+
+static void measure_fresh(const struct fresh_row *row, uint64_t seeds)
+{
+	struct times times = { 0 };
+	uint32_t violations = 0;
+
+	for (uint64_t seed = 1; seed <= seeds; seed++) {
+		struct scn_world *world = bpl_world(&idle, seed);
+
+		scn_command(world, GB_STR("start"));
+		scn_run(world, 12 * GB_SEC);
+		if (row->fault.len)
+			scn_command(world, row->fault);
+		scn_load_start(world, 0, 100, 600 * GB_SEC, GB_SEC, 100, false);
+		for (uint32_t i = 0; i < CHANGES; i++) {
+			scn_run(world, GB_SEC + (gb_time)gb_rng_below(
+							&world->rng, GB_SEC));
+			if (row->cut)
+				cut_last(world, row->deaf);
+			change_config(world);
+			add_time(&times,
+				 until(world, in_force,
+				       world->platform.object->version));
+			if (row->cut)
+				heal(world);
+		}
+		violations += world->violations;
+		scn_free(world);
+	}
+	printf("%-14.*s %8u %7.1f %7.1f %7.1f %5u\n", (int)row->name.len,
+	       row->name.ptr, times.count, times.min, times.sum / times.count,
+	       times.max, violations);
+}
+
+void var_freshness(uint64_t seeds)
+{
+	static const struct fresh_row rows[] = {
+		{ .name = GB_STR_INIT("no fault") },
+		{ .name = GB_STR_INIT("5% lost"),
+		  .fault = GB_STR_INIT("net drop=50") },
+		{ .name = GB_STR_INIT("20% lost"),
+		  .fault = GB_STR_INIT("net drop=200") },
+		{ .name = GB_STR_INIT("20% late"),
+		  .fault = GB_STR_INIT("net late=200 late_ms=400") },
+		{ .name = GB_STR_INIT("platform slow"),
+		  .fault = GB_STR_INIT("platform slow_ms=300") },
+		{ .name = GB_STR_INIT("vm 4 cut"), .cut = true },
+		{ .name = GB_STR_INIT("vm 4 isolated"),
+		  .cut = true,
+		  .deaf = true },
+	};
+
+	printf("Time from the write until each of 4 VMs has the version or "
+	       "neither owns units nor takes requests.\n");
+	printf("%-14s %8s %7s %7s %7s %5s\n", "network", "changes", "min",
+	       "mean", "max", "viol");
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		measure_fresh(&rows[i], seeds);
+}
