--- a/bench/common-run.c
+++ b/bench/common-run.c
@@ -19,6 +19,7 @@
 static void set_policy(struct scn_world *world,
 		       const struct bpl_policy *policy);
 static double settle(struct scn_world *world, const struct bpl_policy *policy);
+static double p99_of_all(struct scn_tally *t, gb_time deadline);
 static uint64_t received(const struct scn_world *world);
 static void sum_upstreams(const struct scn_world *world,
 			  struct bpl_result *result);
@@ -93,6 +94,17 @@
 	return (double)(world->net.messages - before) * GB_SEC / QUIET;
 }
 
+/* A query without a complete answer counts with its deadline. */
+static double p99_of_all(struct scn_tally *t, gb_time deadline)
+{
+	double complete = t->complete, sent = MAX(t->sent, 1);
+	gb_time time = deadline;
+
+	if (complete >= 0.99 * sent)
+		time = scn_tally_quantile(t, 0.99 * sent / complete);
+	return (double)time / GB_MSEC;
+}
+
 static uint64_t received(const struct scn_world *world)
 {
 	uint64_t sum = 0;
@@ -131,12 +143,14 @@
 	double heartbeats = settle(world, policy);
 	uint64_t before, messages;
 	struct scn_tally *t;
+	gb_time begin;
 
 	*result = (struct bpl_result){ 0 };
 	scn_load_start(world, 0, rate, WARM_UP, deadline, bodies, false);
 	scn_run(world, WARM_UP);
 	before = received(world);
 	messages = world->net.messages;
+	begin = world->now;
 	if (run->fault)
 		run->fault(world);
 	t = &scn_load_start(world, 0, rate, duration, deadline, bodies, false)
@@ -154,6 +168,8 @@
 	result->p50 = (double)scn_tally_quantile(t, 0.5) / GB_MSEC;
 	result->p99 = (double)scn_tally_quantile(t, 0.99) / GB_MSEC;
 	result->p999 = (double)scn_tally_quantile(t, 0.999) / GB_MSEC;
+	result->p99_all = p99_of_all(t, deadline);
+	result->incomplete = (double)MAX(t->incomplete_at - begin, 0) / GB_SEC;
 	result->goodput = (double)t->complete * GB_SEC / (double)duration;
 	result->coverage =
 		t->coverage_sum / MAX((double)(t->complete + t->partial), 1);
--- a/bench/common.h
+++ b/bench/common.h
@@ -54,6 +54,8 @@
 
 struct bpl_result {
 	double p50, p99, p999; /* ms, of complete answers */
+	double p99_all; /* ms; others count with the deadline */
+	double incomplete; /* s, from the fault to the last of them */
 	struct scn_tally tally; /* without its times */
 	double goodput; /* complete answers per second */
 	double coverage;
--- a/bench/policy-main.c
+++ b/bench/policy-main.c
@@ -107,13 +107,14 @@
 	const struct scn_tally *t = &r.tally;
 
 	bpl_measure(run, policy, seed, &r);
-	printf("%-16.*s %-16.*s %6.1f %7.1f %7.1f %6" PRIu64 " %6" PRIu64
+	printf("%-16.*s %-16.*s %6.1f %7.1f %7.1f %7.1f %6" PRIu64 " %6" PRIu64
 	       " %5" PRIu64 " %6" PRIu64 " %5" PRIu64 " %5" PRIu64
-	       " %7.4f %6.2f%% %5u %4u %5" PRIu64 " %6.1f %4u\n",
+	       " %7.4f %6.2f%% %5u %4u %5" PRIu64 " %6.1f %6.2f %4u\n",
 	       (int)run->name.len, run->name.ptr, (int)policy->name.len,
-	       policy->name.ptr, r.p50, r.p99, r.p999, t->sent, t->complete,
-	       t->partial, t->refused, t->late, t->lost, r.coverage, r.extra,
-	       r.peak, r.connections, r.shed, r.refusal, r.violations);
+	       policy->name.ptr, r.p50, r.p99, r.p999, r.p99_all, t->sent,
+	       t->complete, t->partial, t->refused, t->late, t->lost,
+	       r.coverage, r.extra, r.peak, r.connections, r.shed, r.refusal,
+	       r.incomplete, r.violations);
 	fflush(stdout);
 }
 
@@ -129,11 +130,14 @@
 	printf("Times in ms; capacity %.0f queries/s over %d shards; peak and "
 	       "conn are the most work and connections of one upstream.\n",
 	       bpl_capacity(10), BPL_SHARDS);
-	printf("%-16s %-16s %6s %7s %7s %6s %6s %5s %6s %5s %5s %7s %7s %5s "
-	       "%4s %5s %6s %4s\n",
-	       "run", "policy", "p50", "p99", "p99.9", "sent", "compl", "part",
-	       "refus", "late", "lost", "cover", "extra", "peak", "conn",
-	       "shed", "refuse", "viol");
+	printf("p50, p99 and p99.9 are of complete answers; in all99 the "
+	       "others count with their deadline;\nlast is the time in s from "
+	       "the beginning (the fault) to the last incomplete query.\n");
+	printf("%-16s %-16s %6s %7s %7s %7s %6s %6s %5s %6s %5s %5s %7s %7s %5s "
+	       "%4s %5s %6s %6s %4s\n",
+	       "run", "policy", "p50", "p99", "p99.9", "all99", "sent", "compl",
+	       "part", "refus", "late", "lost", "cover", "extra", "peak",
+	       "conn", "shed", "refuse", "last", "viol");
 	for (size_t i = 0; i < G_N_ELEMENTS(runs); i++) {
 		if (argc > 1 &&
 		    !gb_str_eq(runs[i].name, gb_str_from_c(argv[1])))
--- a/tests/scenario/scn-caller.c
+++ b/tests/scenario/scn-caller.c
@@ -83,11 +83,14 @@
 	request->answered = true;
 	request->lost = true;
 	load = load_of(world, request);
-	if (load)
+	if (load) {
 		load->tally.lost++;
-	else
-		scn_line(world, "answer %.*s none", (int)request->id.len,
-			 request->id.ptr);
+		load->tally.incomplete_at =
+			MAX(load->tally.incomplete_at, request->sent);
+		return;
+	}
+	scn_line(world, "answer %.*s none", (int)request->id.len,
+		 request->id.ptr);
 }
 
 void scn_request_send(struct scn_world *world, struct scn_request *request,
@@ -136,6 +139,8 @@
 	}
 	if (code == GB_OK)
 		tally->coverage_sum += coverage;
+	if (code != GB_OK || coverage < 1.0)
+		tally->incomplete_at = world->now;
 }
 
 static gint by_time(gconstpointer a, gconstpointer b)
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -228,6 +228,8 @@
 	uint64_t unknown;
 	uint64_t lost;
 	gb_time refusal_max;
+	gb_time incomplete_at; /* end of the last without complete answer; begin
+				  if lost */
 	double coverage_sum;
 	GArray *times; /* of gb_time, complete answers */
 };
