--- a/bench/control-cell.c
+++ b/bench/control-cell.c
@@ -9,7 +9,7 @@
 #define SETTLE (60 * GB_SEC)
 #define MEASURE (180 * GB_SEC)
 #define STEP (10 * GB_MSEC)
-#define TAKEOVER_MAX (60 * GB_SEC)
+#define TAKEOVER_MAX (300 * GB_SEC)
 
 /* What one member sent and received, by index in the world. */
 struct count {
@@ -237,3 +237,21 @@
 	measure_takeover(world, cell);
 	scn_free(world);
 }
+
+gb_time bct_cell_lose_dc(const struct bct_cell_options *options)
+{
+	struct scn_world *world = build(options);
+	gb_time begin, taken;
+
+	scn_command(world, GB_STR("start"));
+	scn_run(world, SETTLE);
+	begin = world->now;
+	for (uint32_t i = 0; i < world->vms; i++)
+		if (world->vm[i].dc == 0)
+			scn_vm_kill(world, i);
+	while (!all_held(world) && world->now - begin < TAKEOVER_MAX)
+		scn_run(world, STEP);
+	taken = world->now - begin;
+	scn_free(world);
+	return taken;
+}
--- a/bench/control-main.c
+++ b/bench/control-main.c
@@ -31,6 +31,7 @@
 static void run_fleet(const struct bct_timing *timing, uint32_t members,
 		      gb_time change_every, struct fits *fits);
 static void run_timing(const struct bct_timing *timing, gb_time change_every);
+static void lose_dc(const struct bct_timing *timing);
 
 static void run_fleet(const struct bct_timing *timing, uint32_t members,
 		      gb_time change_every, struct fits *fits)
@@ -117,6 +118,22 @@
 	bct_fit_print(&fits.calls);
 }
 
+/* The loss of a data centre without notice, in a cell over three of them. */
+static void lose_dc(const struct bct_timing *timing)
+{
+	static const uint32_t sizes[] = { 4, 16 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		struct bct_cell_options options = { .timing = timing,
+						    .members = sizes[i],
+						    .replicas = REPLICAS };
+
+		printf("%-7.*s cell of %2u: %.2f s\n", (int)timing->name.len,
+		       timing->name.ptr, sizes[i],
+		       (double)bct_cell_lose_dc(&options) / GB_SEC);
+	}
+}
+
 int main(void)
 {
 	printf("Cells of at most %d members and %d replicas each; per node: "
@@ -135,6 +152,10 @@
 		run_timing(&timings[i], 0);
 		run_timing(&timings[i], 9 * GB_SEC);
 	}
+	printf("\nTime until all units are held again after the loss of the "
+	       "data centre with two of the four granters\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(timings); i++)
+		lose_dc(&timings[i]);
 	bct_config_run();
 	return 0;
 }
--- a/bench/control.h
+++ b/bench/control.h
@@ -54,6 +54,12 @@
 void bct_cell_run(const struct bct_cell_options *options,
 		  struct bct_cell *cell);
 
+/*
+ * Kills all members of the data centre that has two of the four granters;
+ * returns the time until the others hold all units.
+ */
+gb_time bct_cell_lose_dc(const struct bct_cell_options *options);
+
 /* CPU seconds of this process. */
 double bct_cpu(void);
 
