--- /dev/null
+++ b/bench/control-load.c
@@ -0,0 +1,59 @@
+#include "bench/control.h"
+#include "scenario/scn.h"
+
+#include <stdio.h>
+
+/*
+ * A member opens at most connections / members of the cell to one upstream, so
+ * a large cell leaves its owners fewer connections than the upstream has slots.
+ */
+#define LOAD "rate=587 deadline_ms=1000 bodies=2000"
+
+static void run_cell(uint32_t members);
+
+/* 80% of the capacity of 20 shards with two replicas of two slots. */
+static void run_cell(uint32_t members)
+{
+	struct scn_world *world = scn_new(1);
+	char line[64];
+	struct scn_tally *t;
+
+	for (int i = 0; i < 3; i++) {
+		g_snprintf(line, sizeof(line), "dc dc-%c", 'a' + i);
+		scn_command(world, gb_str_from_c(line));
+	}
+	for (uint32_t i = 0; i < members; i++) {
+		g_snprintf(line, sizeof(line), "vm %u dc=dc-%c", i + 1,
+			   'a' + (char)(i % 3));
+		scn_command(world, gb_str_from_c(line));
+	}
+	scn_command(world,
+		    GB_STR("service bench-assist shards=20 replicas=2 slots=2 "
+			   "queue=1 backlog=23 connections=25 connect_us=6000 "
+			   "mean_us=5000 slow_permille=10 slow_factor=10"));
+	scn_command(world, GB_STR("start"));
+	scn_run(world, 15 * GB_SEC);
+	scn_command(world, GB_STR("load bench-assist ms=8000 " LOAD));
+	scn_run(world, 8 * GB_SEC);
+	scn_command(world, GB_STR("load bench-assist ms=10000 " LOAD));
+	scn_run(world, 14 * GB_SEC);
+	t = &((struct scn_load *)g_ptr_array_index(world->loads, 1))->tally;
+	printf("%7u %11d %6" PRIu64 " %6" PRIu64 " %6" PRIu64 " %6" PRIu64
+	       " %7.1f %7.1f\n",
+	       members, 25 / (int)members, t->sent, t->complete, t->partial,
+	       t->refused, (double)scn_tally_quantile(t, 0.5) / GB_MSEC,
+	       (double)scn_tally_quantile(t, 0.99) / GB_MSEC);
+	scn_free(world);
+}
+
+void bct_load_run(void)
+{
+	static const uint32_t sizes[] = { 4, 6, 8, 12, 16 };
+
+	printf("\nOne cell under 80%% load, 25 connections per upstream; times "
+	       "in ms\n%7s %11s %6s %6s %6s %6s %7s %7s\n",
+	       "members", "connections", "sent", "compl", "part", "refus",
+	       "p50", "p99");
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		run_cell(sizes[i]);
+}
--- a/bench/control-main.c
+++ b/bench/control-main.c
@@ -5,8 +5,8 @@
 /*
  * Usage: bench-control
  *
- * Prints the control cost of fleets of 4, 50 and 200 members, and of
- * configurations of several sizes.
+ * Prints the control cost of fleets of 4, 50 and 200 members, what large cells
+ * answer under load, and the cost of configurations of several sizes.
  */
 
 /* 22,000 replicas over 200 cells. */
@@ -156,6 +156,7 @@
 	       "data centre with two of the four granters\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(timings); i++)
 		lose_dc(&timings[i]);
+	bct_load_run();
 	bct_config_run();
 	return 0;
 }
--- a/bench/control.h
+++ b/bench/control.h
@@ -79,6 +79,9 @@
 void bct_fit_add(struct bct_fit *fit, double x, double y);
 void bct_fit_print(const struct bct_fit *fit);
 
+/* Prints what cells of several sizes answer under load. */
+void bct_load_run(void);
+
 /* Prints size, time and memory of configurations of several sizes. */
 void bct_config_run(void);
 
