--- a/bench/control-load.c
+++ b/bench/control-load.c
@@ -1,4 +1,5 @@
 #include "bench/control.h"
+#include "quorum/quo.h"
 #include "scenario/scn.h"
 
 #include <stdio.h>
@@ -10,6 +11,7 @@
 #define LOAD "rate=587 deadline_ms=1000 bodies=2000"
 
 static void run_cell(uint32_t members);
+static uint32_t most_shards(uint32_t service, uint32_t shards);
 
 /* 80% of the capacity of 20 shards with two replicas of two slots. */
 static void run_cell(uint32_t members)
@@ -57,3 +59,45 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 		run_cell(sizes[i]);
 }
+
+/* Shards of a service that the member with the most of them owns. */
+static uint32_t most_shards(uint32_t number, uint32_t shards)
+{
+	struct cfg *cfg = cfg_new();
+	uint32_t count[BCT_CELL_MAX] = { 0 }, most = 0;
+	struct cfg_service *service;
+	char name[32];
+
+	for (uint32_t i = 0; i < BCT_CELL_MAX; i++)
+		cfg_add_vm(cfg, i + 1, GB_STR("vm"), GB_STR("127.0.0.1"));
+	g_snprintf(name, sizeof(name), "service-%u", number);
+	service = cfg_add_service(cfg, gb_str_from_c(name));
+	for (uint32_t i = 0; i < shards; i++) {
+		int owner = quo_owner(cfg, (1ULL << BCT_CELL_MAX) - 1,
+				      cfg_unit(service, i));
+
+		count[owner]++;
+		most = MAX(most, count[owner]);
+	}
+	cfg_unref(cfg);
+	return most;
+}
+
+/* Shards per member, as the hash places them. */
+void bct_placement_run(void)
+{
+	static const uint32_t shards[] = { 20, 55, 110, 550 };
+	static const uint32_t services = 20;
+
+	printf("\nShards per member of a cell of %d, mean and most, over %u "
+	       "services\n%7s %7s %7s %7s\n",
+	       BCT_CELL_MAX, services, "shards", "mean", "most", "ratio");
+	for (size_t i = 0; i < G_N_ELEMENTS(shards); i++) {
+		double mean = (double)shards[i] / BCT_CELL_MAX, most = 0;
+
+		for (uint32_t s = 0; s < services; s++)
+			most += (double)most_shards(s, shards[i]) / services;
+		printf("%7u %7.1f %7.1f %7.2f\n", shards[i], mean, most,
+		       most / mean);
+	}
+}
--- a/bench/control-main.c
+++ b/bench/control-main.c
@@ -157,6 +157,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(timings); i++)
 		lose_dc(&timings[i]);
 	bct_load_run();
+	bct_placement_run();
 	bct_config_run();
 	return 0;
 }
--- a/bench/control.h
+++ b/bench/control.h
@@ -82,6 +82,9 @@
 /* Prints what cells of several sizes answer under load. */
 void bct_load_run(void);
 
+/* Prints how evenly the hash spreads shards over members. */
+void bct_placement_run(void);
+
 /* Prints size, time and memory of configurations of several sizes. */
 void bct_config_run(void);
 
