--- a/bench/common-run.c
+++ b/bench/common-run.c
@@ -4,8 +4,6 @@
 
 #include <stdio.h>
 
-#define REPLICAS 2
-#define SLOTS 2
 #define MEAN_MS 5.0
 #define SLOW_FACTOR 10.0
 
@@ -20,15 +18,37 @@
 		       const struct bpl_policy *policy);
 static double settle(struct scn_world *world, const struct bpl_policy *policy);
 static uint64_t received(const struct scn_world *world);
+static double p99_of_all(struct scn_tally *t, gb_time deadline);
 static void sum_upstreams(const struct scn_world *world,
 			  struct bpl_result *result);
 
-double bpl_capacity(uint32_t slow_permille)
+#define LATENCY GB_STR_INIT("latency")
+#define COVERAGE GB_STR_INIT("coverage")
+
+const struct bpl_shape bpl_shapes[] = {
+	{ GB_STR_INIT("bench-assist"), 20, 2, 2, 25, 6000, LATENCY },
+	{ GB_STR_INIT("owner-ledger"), 30, 2, 2, 25, 6000, LATENCY },
+	{ GB_STR_INIT("counter-desk"), 1, 10, 3, 110, 1000, LATENCY },
+	{ GB_STR_INIT("sync-courier"), 1, 4, 3, 110, 1000, LATENCY },
+	{ GB_STR_INIT("van-lookup"), 20, 2, 2, 25, 6000, COVERAGE },
+	{ GB_STR_INIT("franchise-billing"), 30, 2, 2, 25, 6000, COVERAGE },
+	{ GB_STR_INIT("desk-dispatch"), 1, 5, 4, 45, 1000, COVERAGE },
+	{ GB_STR_INIT("fleet-tracker"), 1, 3, 4, 45, 1000, COVERAGE },
+};
+
+const size_t bpl_shapes_len = G_N_ELEMENTS(bpl_shapes);
+
+const struct bpl_shape *bpl_shape(const struct bpl_run *run)
+{
+	return run->shape ? run->shape : &bpl_shapes[0];
+}
+
+double bpl_capacity(const struct bpl_shape *shape, uint32_t slow_permille)
 {
 	double slow = slow_permille / 1000.0;
 	double mean = MEAN_MS * (1 - slow + slow * SLOW_FACTOR);
 
-	return REPLICAS * SLOTS * 1000.0 / mean;
+	return shape->replicas * shape->slots * 1000.0 / mean;
 }
 
 struct scn_world *bpl_world(const struct bpl_run *run, uint64_t seed)
@@ -37,16 +57,22 @@
 		"dc dc-a",	"dc dc-b",	"dc dc-c",	"vm 1 dc=dc-a",
 		"vm 2 dc=dc-b", "vm 3 dc=dc-c", "vm 4 dc=dc-b",
 	};
+	const struct bpl_shape *shape = bpl_shape(run);
 	struct scn_world *world = scn_new(seed);
 	struct gb_buf line = GB_BUF_INIT;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
 		scn_command(world, gb_str_from_c(lines[i]));
+	/* Without a limit of its own an upstream queues what it is sent. */
 	gb_buf_addf(&line,
-		    "service bench-assist shards=%d replicas=%d slots=%d "
-		    "queue=1 backlog=%d connections=25 connect_us=6000 "
+		    "service %.*s shards=%u replicas=%u slots=%u queue=1 "
+		    "backlog=%u connections=%u connect_us=%u policy=%.*s "
 		    "mean_us=%d slow_permille=%u slow_factor=%d",
-		    BPL_SHARDS, REPLICAS, SLOTS, run->strict ? 1 : 23,
+		    (int)shape->name.len, shape->name.ptr, shape->shards,
+		    shape->replicas, shape->slots,
+		    run->strict ? 1 : shape->connections - shape->slots,
+		    shape->connections, shape->connect_us,
+		    (int)shape->policy.len, shape->policy.ptr,
 		    (int)(MEAN_MS * 1000), run->slow_permille,
 		    (int)SLOW_FACTOR);
 	scn_command(world, gb_buf_str(&line));
@@ -120,16 +146,29 @@
 	}
 }
 
+/* Incomplete answers count at the deadline; refused queries do not count. */
+static double p99_of_all(struct scn_tally *t, gb_time deadline)
+{
+	uint64_t all = t->sent - t->refused;
+	double missing = (double)(all - t->complete) / MAX((double)all, 1);
+
+	if (missing > 0.01)
+		return (double)deadline / GB_MSEC;
+	return (double)scn_tally_quantile(t, 0.99 / (1 - missing)) / GB_MSEC;
+}
+
 void bpl_measure(const struct bpl_run *run, const struct bpl_policy *policy,
 		 uint64_t seed, struct bpl_result *result)
 {
 	struct scn_world *world = bpl_world(run, seed);
-	double rate = run->load * bpl_capacity(10);
+	const struct bpl_shape *shape = bpl_shape(run);
+	double rate = run->load * bpl_capacity(shape, 10);
 	gb_time duration = run->duration ? run->duration : 20 * GB_SEC;
 	gb_time deadline = run->deadline ? run->deadline : GB_SEC;
 	uint32_t bodies = run->bodies ? run->bodies : 2000;
 	double heartbeats = settle(world, policy);
 	uint64_t before, messages;
+	gb_time start;
 	struct scn_tally *t;
 
 	*result = (struct bpl_result){ 0 };
@@ -137,15 +176,17 @@
 	scn_run(world, WARM_UP);
 	before = received(world);
 	messages = world->net.messages;
+	start = world->now;
 	if (run->fault)
 		run->fault(world);
 	t = &scn_load_start(world, 0, rate, duration, deadline, bodies, false)
 		     ->tally;
 	scn_run(world, duration);
 	result->extra =
-		100.0 * ((double)(received(world) - before) /
-				 ((double)(t->sent - t->refused) * BPL_SHARDS) -
-			 1);
+		100.0 *
+		((double)(received(world) - before) /
+			 ((double)(t->sent - t->refused) * shape->shards) -
+		 1);
 	result->messages = ((double)(world->net.messages - messages) -
 			    heartbeats * (double)duration / GB_SEC) /
 			   MAX((double)(t->sent - t->refused), 1);
@@ -153,6 +194,8 @@
 	scn_run(world, 3 * GB_SEC);
 	result->p50 = (double)scn_tally_quantile(t, 0.5) / GB_MSEC;
 	result->p99 = (double)scn_tally_quantile(t, 0.99) / GB_MSEC;
+	result->p99_all = p99_of_all(t, deadline);
+	result->back = (double)MAX(t->incomplete_sent - start, 0) / GB_MSEC;
 	result->p999 = (double)scn_tally_quantile(t, 0.999) / GB_MSEC;
 	result->goodput = (double)t->complete * GB_SEC / (double)duration;
 	result->coverage =
--- a/bench/common.h
+++ b/bench/common.h
@@ -17,10 +17,23 @@
 #include "policy/pol.h"
 #include "scenario/scn.h"
 
-#define BPL_SHARDS 20
+/* One service of the users; service times are exponential with 5 ms. */
+struct bpl_shape {
+	struct gb_str name;
+	uint32_t shards;
+	uint32_t replicas;
+	uint32_t slots;
+	uint32_t connections;
+	uint32_t connect_us;
+	struct gb_str policy;
+};
+
+extern const struct bpl_shape bpl_shapes[];
+extern const size_t bpl_shapes_len;
 
 struct bpl_run {
 	struct gb_str name;
+	const struct bpl_shape *shape; /* NULL for the first one */
 	double load; /* share of capacity */
 	gb_time deadline;
 	uint32_t slow_permille; /* of sub-requests, ten times slower */
@@ -54,6 +67,9 @@
 
 struct bpl_result {
 	double p50, p99, p999; /* ms, of complete answers */
+	double p99_all; /* ms, others that were not refused at the deadline */
+	double back; /* ms until the last query that ended incomplete was sent
+		      */
 	struct scn_tally tally; /* without its times */
 	double goodput; /* complete answers per second */
 	double coverage;
@@ -76,8 +92,10 @@
 			const struct bpl_policy *policy);
 void bpl_baseline_free(struct scn_world *world);
 
-/* Whole queries per second that keep all slots busy. */
-double bpl_capacity(uint32_t slow_permille);
+const struct bpl_shape *bpl_shape(const struct bpl_run *run);
+
+/* Whole queries per second that keep all slots of the shape busy. */
+double bpl_capacity(const struct bpl_shape *shape, uint32_t slow_permille);
 
 /* Four VMs in three data centres and one service, not yet started. */
 struct scn_world *bpl_world(const struct bpl_run *run, uint64_t seed);
--- a/bench/policy-main.c
+++ b/bench/policy-main.c
@@ -6,7 +6,8 @@
 /*
  * Usage: bench-policy [--seed N] [RUN]
  *
- * Prints one row for each run and policy; with RUN only that run.
+ * Prints one row for each run and policy; with RUN only that run, or with
+ * "shapes" only the services of the users.
  */
 
 static void lose_replica(struct scn_world *world);
@@ -17,6 +18,8 @@
 static void restart_all(struct scn_world *world, void *data);
 static void measure(const struct bpl_run *run, const struct bpl_policy *policy,
 		    uint64_t seed);
+static void measure_shapes(uint64_t seed);
+static void print_head(void);
 
 static const struct bpl_run runs[] = {
 	{ .name = GB_STR_INIT("load50"), .load = 0.5, .slow_permille = 10 },
@@ -39,8 +42,18 @@
 	  .load = 0.4,
 	  .slow_permille = 10,
 	  .fault = lose_replica },
-	{ .name = GB_STR_INIT("dc-steady"), .load = 0.4, .slow_permille = 10 },
-	{ .name = GB_STR_INIT("dc-out-and-back"),
+	/* With a data centre out, most shards have one of two replicas left. */
+	{ .name = GB_STR_INIT("dc-steady-25"),
+	  .load = 0.25,
+	  .slow_permille = 10 },
+	{ .name = GB_STR_INIT("dc-out-back-25"),
+	  .load = 0.25,
+	  .slow_permille = 10,
+	  .fault = dc_out_and_back },
+	{ .name = GB_STR_INIT("dc-steady-40"),
+	  .load = 0.4,
+	  .slow_permille = 10 },
+	{ .name = GB_STR_INIT("dc-out-back-40"),
 	  .load = 0.4,
 	  .slow_permille = 10,
 	  .fault = dc_out_and_back },
@@ -100,6 +113,7 @@
 		scn_command(world, GB_STR("kill 1"));
 }
 
+/* Prints the rows of one run for the product and the baselines. */
 static void measure(const struct bpl_run *run, const struct bpl_policy *policy,
 		    uint64_t seed)
 {
@@ -107,16 +121,45 @@
 	const struct scn_tally *t = &r.tally;
 
 	bpl_measure(run, policy, seed, &r);
-	printf("%-16.*s %-16.*s %6.1f %7.1f %7.1f %6" PRIu64 " %6" PRIu64
+	printf("%-17.*s %-16.*s %6.1f %7.1f %7.1f %7.1f %6" PRIu64 " %6" PRIu64
 	       " %5" PRIu64 " %6" PRIu64 " %5" PRIu64 " %5" PRIu64
-	       " %7.4f %6.2f%% %5u %4u %5" PRIu64 " %6.1f %4u\n",
+	       " %7.4f %6.2f%% %5u %4u %5" PRIu64 " %6.1f %6.0f %4u\n",
 	       (int)run->name.len, run->name.ptr, (int)policy->name.len,
-	       policy->name.ptr, r.p50, r.p99, r.p999, t->sent, t->complete,
-	       t->partial, t->refused, t->late, t->lost, r.coverage, r.extra,
-	       r.peak, r.connections, r.shed, r.refusal, r.violations);
+	       policy->name.ptr, r.p50, r.p99, r.p99_all, r.p999, t->sent,
+	       t->complete, t->partial, t->refused, t->late, t->lost,
+	       r.coverage, r.extra, r.peak, r.connections, r.shed, r.refusal,
+	       r.back, r.violations);
 	fflush(stdout);
 }
 
+/* Each service of both users, at 80% and at 130% of its capacity. */
+static void measure_shapes(uint64_t seed)
+{
+	for (size_t i = 0; i < 2 * bpl_shapes_len; i++) {
+		const struct bpl_shape *shape = &bpl_shapes[i / 2];
+		const struct bpl_run run = {
+			.name = shape->name,
+			.shape = shape,
+			.load = i % 2 ? 1.3 : 0.8,
+			.deadline = i % 2 ? 200 * GB_MSEC : GB_SEC,
+			.slow_permille = 10,
+			.duration = 10 * GB_SEC,
+		};
+
+		for (size_t k = 0; k < bpl_policies_len; k++)
+			measure(&run, &bpl_policies[k], seed);
+	}
+}
+
+static void print_head(void)
+{
+	printf("%-17s %-16s %6s %7s %7s %7s %6s %6s %5s %6s %5s %5s %7s %7s "
+	       "%5s %4s %5s %6s %6s %4s\n",
+	       "run", "policy", "p50", "p99", "p99all", "p99.9", "sent",
+	       "compl", "part", "refus", "late", "lost", "cover", "extra",
+	       "peak", "conn", "shed", "refuse", "back", "viol");
+}
+
 int main(int argc, char **argv)
 {
 	uint64_t seed = 1;
@@ -126,14 +169,12 @@
 		argv += 2;
 		argc -= 2;
 	}
-	printf("Times in ms; capacity %.0f queries/s over %d shards; peak and "
-	       "conn are the most work and connections of one upstream.\n",
-	       bpl_capacity(10), BPL_SHARDS);
-	printf("%-16s %-16s %6s %7s %7s %6s %6s %5s %6s %5s %5s %7s %7s %5s "
-	       "%4s %5s %6s %4s\n",
-	       "run", "policy", "p50", "p99", "p99.9", "sent", "compl", "part",
-	       "refus", "late", "lost", "cover", "extra", "peak", "conn",
-	       "shed", "refuse", "viol");
+	printf("Times in ms; capacity %.0f queries/s over %u shards; peak and "
+	       "conn are the most work and connections of one upstream; "
+	       "p99all counts incomplete answers at the deadline; back is the "
+	       "time from the start until the last incomplete query was sent.\n",
+	       bpl_capacity(&bpl_shapes[0], 10), bpl_shapes[0].shards);
+	print_head();
 	for (size_t i = 0; i < G_N_ELEMENTS(runs); i++) {
 		if (argc > 1 &&
 		    !gb_str_eq(runs[i].name, gb_str_from_c(argv[1])))
@@ -141,5 +182,10 @@
 		for (size_t k = 0; k < bpl_policies_len; k++)
 			measure(&runs[i], &bpl_policies[k], seed);
 	}
+	if (argc > 1 && strcmp(argv[1], "shapes"))
+		return 0;
+	printf("\nEach service at 80%%, then at 130%% with 200 ms.\n");
+	print_head();
+	measure_shapes(seed);
 	return 0;
 }
--- a/tests/scenario/scn-caller.c
+++ b/tests/scenario/scn-caller.c
@@ -83,11 +83,13 @@
 	request->answered = true;
 	request->lost = true;
 	load = load_of(world, request);
-	if (load)
+	if (load) {
 		load->tally.lost++;
-	else
+		load->tally.incomplete_sent = request->sent;
+	} else {
 		scn_line(world, "answer %.*s none", (int)request->id.len,
 			 request->id.ptr);
+	}
 }
 
 void scn_request_send(struct scn_world *world, struct scn_request *request,
@@ -134,6 +136,8 @@
 		tally->refused++;
 		tally->refusal_max = MAX(tally->refusal_max, taken);
 	}
+	if (code != GB_OK || coverage < 1.0)
+		tally->incomplete_sent = request->sent;
 	if (code == GB_OK)
 		tally->coverage_sum += coverage;
 }
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -228,6 +228,7 @@
 	uint64_t unknown;
 	uint64_t lost;
 	gb_time refusal_max;
+	gb_time incomplete_sent; /* when the last one of those was sent */
 	double coverage_sum;
 	GArray *times; /* of gb_time, complete answers */
 };
