--- a/packages/query/qry-query.c
+++ b/packages/query/qry-query.c
@@ -14,6 +14,7 @@
 static void release_shards(struct qry_query *query, gb_time now);
 static void set_due(struct qry_query *query, struct qry_shard *shard,
 		    gb_time due);
+static void begin(struct qry_query *query, gb_time now);
 static void pin(struct qry_query *query);
 static void settle(struct qry_query *query, uint32_t shard,
 		   enum qry_shard_state state, enum qry_degraded why);
@@ -60,9 +61,6 @@
 	query->min_coverage = request->min_coverage;
 	query->canary = service->canary && !request->known_good;
 	pin(query);
-	query->canary_shard = query->shards_len
-				      ? request->fingerprint % query->shards_len
-				      : 0;
 	query->ops = ops;
 	query->ctx = ctx;
 	return query;
@@ -167,16 +165,24 @@
 	}
 }
 
+/* Lets the canary go, or all shards when it has succeeded. */
+static void begin(struct qry_query *query, gb_time now)
+{
+	if (!query->canary || !query->shards_len) {
+		release_shards(query, now);
+		return;
+	}
+	query->canary_shard = query->fingerprint % query->shards_len;
+	set_due(query, &query->shards[query->canary_shard], now);
+}
+
 void qry_start(struct qry_query *query, gb_time now)
 {
 	if (!query->shards_len) {
 		end(query, GB_ERR_NOT_RUN);
 		return;
 	}
-	if (query->canary)
-		set_due(query, &query->shards[query->canary_shard], now);
-	else
-		release_shards(query, now);
+	begin(query, now);
 	send_due(query, now);
 	schedule(query, now);
 }
@@ -244,8 +250,7 @@
 	for (uint32_t i = 0; i < query->shards_len; i++)
 		query->shards[i].may_have_run = true;
 	query->restarted = true;
-	query->canary = false;
-	release_shards(query, now);
+	begin(query, now);
 	return true;
 }
 
