Count a VM as ready only while it hears a majority

Cause: a heartbeat said ready whenever the VM was in service, also when the VM received nothing. In a partition of one direction the VM stayed the owner of its units and the granters went on granting them to it, but no grant reached it, so nobody held these units while the partition lasted.

Change: ready also requires a majority of granters heard within the lease time and the suspicion time; the latter covers a change of the epoch.

Before: tests/process/run build partition: lookups at the other VMs were incomplete for the 60 s of the cut. After: they are complete within the 20 s that the test allows, none incomplete after the takeover.

--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -13,6 +13,7 @@
 static bool update_units(struct node *node);
 static uint32_t count_units(const struct msg_units *units);
 static void report_units(struct node *node);
+static bool hears_quorum(struct node *node);
 static void send_heartbeat(struct node *node);
 static void follow_voter(struct node *node);
 static void start_voter(struct node *node);
@@ -155,13 +156,27 @@
 		nd_event_plain(node, EV_LEASE_LOST, lost, total);
 }
 
+/*
+ * A VM that is heard but hears no majority cannot learn of its grants. It must
+ * not count as ready, since its units would stay without an owner. The pause
+ * covers a change of the epoch, when all members start to hear anew.
+ */
+static bool hears_quorum(struct node *node)
+{
+	if (nd_quorum(node))
+		node->quorum_at = node->clock.now;
+	return node->quorum_at &&
+	       node->clock.now - node->quorum_at < node->settings.suspect_after;
+}
+
 static void send_heartbeat(struct node *node)
 {
 	struct msg msg = { .kind = MSG_HEARTBEAT };
+	bool ready = eligible(node) && hears_quorum(node);
 
 	quo_holder_heartbeat(&node->holder, node->clock.now,
-			     node->store.current, eligible(node),
-			     node->stopping, &msg.heartbeat);
+			     node->store.current, ready, node->stopping,
+			     &msg.heartbeat);
 	nd_send_granters(node, &msg);
 }
 
