--- a/tests/process/crash.sh
+++ b/tests/process/crash.sh
@@ -1,6 +1,8 @@
 # A request that crashes each upstream that runs it is sent to all VMs, again
 # and again, under load. Guards against more than two crashes, and against
 # refusals of other requests.
+# A third replica serves the canary shard while two are away.
+copies=3
 fleet_start
 for port in $(bench_ports); do
 	control "$port" '{"crash_on":"crashing text"}'
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -11,6 +11,7 @@
 # The fleet: daemon i runs in data centre vm_dcs[i].
 records=${records:-tests/records.txt}
 shards=8
+copies=2
 dcs=(dc-a dc-b dc-c)
 vm_dcs=(dc-a dc-b dc-c dc-c)
 bench_policy=latency
@@ -22,6 +23,7 @@
 vm_settings=
 
 work=$(mktemp -d)
+letters=abcdefgh
 keep_work=${KEEP_WORK:-0}
 declare -A pids=()
 platform_port=0
@@ -288,7 +290,7 @@
 # Chooses ports, writes the settings files and the configuration. The roster
 # names roster_ports, which a caller may have set to the ports of relays.
 fleet_layout() {
-	local i dc first desk='' vms='' bench='' docs
+	local i copy dc replicas desk='' vms='' bench='' docs
 	for i in "${!vm_dcs[@]}"; do
 		free_port && http_ports[i]=$port
 		[ -n "${peer_ports[i]:-}" ] || {
@@ -298,10 +300,13 @@
 			roster_ports[i]=${peer_ports[i]}
 	done
 	for ((i = 0; i < shards; i++)); do
-		bench_replica "$i" a "${dcs[i % ${#dcs[@]}]}"
-		first=$json
-		bench_replica "$i" b "${dcs[(i + 1) % ${#dcs[@]}]}"
-		bench+="${bench:+,}{\"replicas\":[$first,$json]}"
+		replicas=
+		for ((copy = 0; copy < copies; copy++)); do
+			bench_replica "$i" "${letters:copy:1}" \
+				"${dcs[(i + copy) % ${#dcs[@]}]}"
+			replicas+="${replicas:+,}$json"
+		done
+		bench+="${bench:+,}{\"replicas\":[$replicas]}"
 	done
 	docs=$("$build/upstream" --records "$records" --count "$shards" |
 		paste -sd,)
