--- a/bench/variants-load.c
+++ b/bench/variants-load.c
@@ -23,6 +23,7 @@
 static void restart_dc(struct scn_world *world);
 static void restart_shard(struct scn_world *world);
 static void come_back(struct scn_world *world, void *data);
+static void take_out(struct scn_world *world);
 static void out_and_back(struct scn_world *world);
 static void measure_all(const struct bpl_run *runs, size_t runs_len,
 			const struct bpl_policy *policies, size_t policies_len,
@@ -296,10 +297,15 @@
 	scn_command(world, GB_STR("confirm vm=2"));
 }
 
-static void out_and_back(struct scn_world *world)
+static void take_out(struct scn_world *world)
 {
 	scn_command(world, GB_STR("plan dc-out dc-a vm=2"));
 	scn_command(world, GB_STR("confirm vm=2"));
+}
+
+static void out_and_back(struct scn_world *world)
+{
+	take_out(world);
 	scn_after(world, 8 * GB_SEC, come_back, NULL);
 }
 
@@ -341,6 +347,36 @@
 		    seeds);
 }
 
+/* A data centre out and back, over the load before. */
+void var_dcs(uint64_t seeds)
+{
+	static const double loads[] = { 0.2, 0.25, 0.3, 0.4 };
+	static const struct bpl_policy unhedged = {
+		.name = GB_STR_INIT("no-hedge"),
+		.product = true,
+		.ops = &hedges[0],
+	};
+
+	var_header();
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+		struct bpl_run run = { .name = GB_STR_INIT("steady"),
+				       .load = loads[i],
+				       .slow_permille = 10 };
+
+		printf("load %.2f\n", loads[i]);
+		var_measure(&run, &product, seeds);
+		run.name = GB_STR("out-and-back");
+		run.fault = out_and_back;
+		var_measure(&run, &product, seeds);
+		run.name = GB_STR("out");
+		run.fault = take_out;
+		var_measure(&run, &product, seeds);
+		run.name = GB_STR("out-no-slow");
+		run.slow_permille = 0;
+		var_measure(&run, &unhedged, seeds);
+	}
+}
+
 void var_canary(uint64_t seeds)
 {
 	static const struct bpl_run runs[] = {
--- a/bench/variants-main.c
+++ b/bench/variants-main.c
@@ -21,6 +21,7 @@
 	{ GB_STR_INIT("hedges"), var_hedges },
 	{ GB_STR_INIT("overload"), var_overload },
 	{ GB_STR_INIT("warmth"), var_warmth },
+	{ GB_STR_INIT("dcs"), var_dcs },
 	{ GB_STR_INIT("canary"), var_canary },
 	{ GB_STR_INIT("leases"), var_leases },
 	{ GB_STR_INIT("freshness"), var_freshness },
--- a/bench/variants.h
+++ b/bench/variants.h
@@ -27,6 +27,7 @@
 void var_hedges(uint64_t seeds);
 void var_overload(uint64_t seeds);
 void var_warmth(uint64_t seeds);
+void var_dcs(uint64_t seeds);
 void var_canary(uint64_t seeds);
 void var_leases(uint64_t seeds);
 void var_freshness(uint64_t seeds);
