--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -223,6 +223,9 @@
 void nd_warm_send(struct node *node, uint32_t vm);
 void nd_on_warm(struct node *node, const struct msg *msg);
 
+/* nd-greet.c */
+void nd_greet(struct node *node, uint32_t vm);
+
 /* nd-leaving.c */
 void nd_leaving_tick(struct node *node);
 void nd_leaving_follow(struct node *node);
--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -6,16 +6,9 @@
 #define HURRY_FACTOR 20
 #define HURRY_TIME (2 * GB_SEC)
 
-/* Where tell_suspect() sends. */
-struct tell {
-	struct node *node;
-	uint32_t vm;
-};
-
 static bool eligible(const struct node *node);
 static void update_candidates(struct node *node);
 static void update_owners(struct node *node);
-static void greet(struct node *node, uint32_t vm);
 static void report_members(struct node *node, uint64_t live);
 static void start_drain(struct node *node, uint32_t unit);
 static void release_unit(struct node *node, uint32_t unit);
@@ -24,7 +17,6 @@
 static void report_units(struct node *node);
 static bool hears_quorum(struct node *node);
 static void send_heartbeat(struct node *node);
-static void tell_suspect(void *ctx, uint64_t fingerprint, uint32_t crashes);
 static bool is_new_process(struct node *node, const struct msg *msg);
 static void follow_voter(struct node *node);
 static void start_voter(struct node *node);
@@ -75,13 +67,6 @@
 		node->owner[i] = cfg ? quo_owner(cfg, node->candidates, i) : -1;
 }
 
-/* Tells a member that came what it cannot learn from the platform. */
-static void greet(struct node *node, uint32_t vm)
-{
-	nd_warm_send(node, vm);
-	nd_leaving_send(node, vm);
-}
-
 /* Notes which members came or went; queries send again what a dead one had. */
 static void report_members(struct node *node, uint64_t live)
 {
@@ -98,7 +83,7 @@
 		nd_event_plain(node, is ? EV_MEMBER_LIVE : EV_MEMBER_DEAD,
 			       cfg_vm(cfg, i)->id, 0);
 		if (is)
-			greet(node, cfg_vm(cfg, i)->id);
+			nd_greet(node, cfg_vm(cfg, i)->id);
 		else
 			nd_query_vm_lost(node, cfg_vm(cfg, i)->id);
 	}
@@ -327,18 +312,6 @@
 	return heard >= cfg_majority(cfg);
 }
 
-static void tell_suspect(void *ctx, uint64_t fingerprint, uint32_t crashes)
-{
-	const struct tell *tell = ctx;
-	struct msg msg = {
-		.kind = MSG_QUARANTINE,
-		.quarantine = { .fingerprint = fingerprint,
-				.crashes = crashes },
-	};
-
-	nd_send(tell->node, tell->vm, &msg);
-}
-
 /* Tells whether the sender has started since it was last heard. */
 static bool is_new_process(struct node *node, const struct msg *msg)
 {
@@ -353,17 +326,13 @@
 	const struct msg_heartbeat *heartbeat = &msg->heartbeat;
 	const struct cfg *cfg = node->store.current;
 	struct msg reply = { .kind = MSG_HEARTBEAT_REPLY };
-	struct tell tell = { .node = node, .vm = msg->from };
 
 	nd_config_heard(node, msg->from, heartbeat->config_version);
 	if (!cfg)
 		return;
-	/*
-	 * A new process has no memory of crashes. It hears of them before the
-	 * reply that may grant it units.
-	 */
+	/* A new process must know of crashes before it is granted units. */
 	if (is_new_process(node, msg))
-		sus_each(node->suspects, tell_suspect, &tell);
+		nd_greet(node, msg->from);
 	quo_members_heard(&node->members, node->clock.now, msg->from,
 			  heartbeat->incarnation, heartbeat->epoch,
 			  heartbeat->config_version);
