--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -122,12 +122,15 @@
 	gb_time heartbeat_at;
 	gb_time hurry_until; /* heartbeats go faster until then */
 	gb_time reply_at[CFG_VMS_MAX]; /* sent by a granter as new as us */
+	gb_time quorum_at; /* when a majority was last heard */
 	uint64_t reply_epoch; /* of the positions in reply_at */
 	uint64_t reply_ready; /* candidates as the last granter saw them */
 	uint64_t reply_live;
 	uint64_t live; /* members that counted as live at the last tick */
 	uint64_t candidates; /* members that may own units */
 	int8_t owner[CFG_UNITS]; /* roster index or -1 */
+	struct msg_units draining; /* wanted no longer; their work ends */
+	bool moving; /* units are on their way to or from this VM */
 	struct msg_units held; /* for events */
 	bool was_ready;
 
@@ -191,6 +194,7 @@
 void nd_owner_follow(struct node *node);
 void nd_owner_leases(struct node *node);
 bool nd_owner_unit_idle(const struct node *node, uint32_t unit);
+void nd_owner_unit_drain(struct node *node, uint32_t unit);
 uint32_t nd_owner_running(const struct node *node);
 void nd_owner_free(struct node *node);
 struct nd_shard *nd_shard_get(struct node *node, int service, uint32_t index);
@@ -219,6 +223,9 @@
 void nd_warm_send(struct node *node, uint32_t vm);
 void nd_on_warm(struct node *node, const struct msg *msg);
 
+/* nd-greet.c */
+void nd_greet(struct node *node, uint32_t vm);
+
 /* nd-leaving.c */
 void nd_leaving_tick(struct node *node);
 void nd_leaving_follow(struct node *node);
--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -3,25 +3,20 @@
 #include <string.h>
 
 /* Heartbeats go this much faster while units move between VMs. */
-#define HURRY_FACTOR 6
+#define HURRY_FACTOR 20
 #define HURRY_TIME (2 * GB_SEC)
 
-/* Where tell_suspect() sends. */
-struct tell {
-	struct node *node;
-	uint32_t vm;
-};
-
 static bool eligible(const struct node *node);
 static void update_candidates(struct node *node);
 static void update_owners(struct node *node);
-static void greet(struct node *node, uint32_t vm);
 static void report_members(struct node *node, uint64_t live);
-static bool update_units(struct node *node);
+static void start_drain(struct node *node, uint32_t unit);
+static void release_unit(struct node *node, uint32_t unit);
+static void update_units(struct node *node);
 static uint32_t count_units(const struct msg_units *units);
 static void report_units(struct node *node);
+static bool hears_quorum(struct node *node);
 static void send_heartbeat(struct node *node);
-static void tell_suspect(void *ctx, uint64_t fingerprint, uint32_t crashes);
 static bool is_new_process(struct node *node, const struct msg *msg);
 static void follow_voter(struct node *node);
 static void start_voter(struct node *node);
@@ -72,13 +67,6 @@
 		node->owner[i] = cfg ? quo_owner(cfg, node->candidates, i) : -1;
 }
 
-/* Tells a member that came what it cannot learn from the platform. */
-static void greet(struct node *node, uint32_t vm)
-{
-	nd_warm_send(node, vm);
-	nd_leaving_send(node, vm);
-}
-
 /* Notes which members came or went; queries send again what a dead one had. */
 static void report_members(struct node *node, uint64_t live)
 {
@@ -95,46 +83,70 @@
 		nd_event_plain(node, is ? EV_MEMBER_LIVE : EV_MEMBER_DEAD,
 			       cfg_vm(cfg, i)->id, 0);
 		if (is)
-			greet(node, cfg_vm(cfg, i)->id);
+			nd_greet(node, cfg_vm(cfg, i)->id);
 		else
 			nd_query_vm_lost(node, cfg_vm(cfg, i)->id);
 	}
 }
 
+/*
+ * Ends the work of a unit that another VM is to own. Without another VM its
+ * work runs to the end.
+ */
+static void start_drain(struct node *node, uint32_t unit)
+{
+	if (msg_units_has(&node->draining, unit))
+		return;
+	msg_units_set(&node->draining, unit);
+	if (node->owner[unit] >= 0)
+		nd_owner_unit_drain(node, unit);
+}
+
+/* Gives a unit back; its work has ended. */
+static void release_unit(struct node *node, uint32_t unit)
+{
+	uint64_t bit = 1ULL << (unit % 64);
+
+	quo_holder_release(&node->holder, unit);
+	node->draining.word[unit / 64] &= ~bit;
+	/* A unit that was given back is not lost. */
+	node->held.word[unit / 64] &= ~bit;
+}
+
 /*
  * Wants the units that this VM should own and releases others once their work
- * is done. Returns true while a unit is on its way to or from this VM.
+ * is done; a release goes out with a heartbeat at once.
  */
-static bool update_units(struct node *node)
+static void update_units(struct node *node)
 {
-	bool moving = false;
 	uint32_t released = 0;
 
+	node->moving = false;
 	for (uint32_t i = 0; i < CFG_UNITS; i++) {
 		bool mine = node->self >= 0 && node->owner[i] == node->self;
 
 		if (mine) {
 			quo_holder_want(&node->holder, i);
-			moving |= quo_holder_expires(&node->holder, i) <=
-				  node->clock.now;
+			node->draining.word[i / 64] &= ~(1ULL << (i % 64));
+			node->moving |= quo_holder_expires(&node->holder, i) <=
+					node->clock.now;
 			continue;
 		}
 		if (!msg_units_has(&node->holder.wanted, i))
 			continue;
+		start_drain(node, i);
 		if (!nd_owner_unit_idle(node, i)) {
-			moving = true;
+			node->moving = true;
 			continue;
 		}
-		quo_holder_release(&node->holder, i);
-		/* A unit that was given back is not lost. */
-		if (msg_units_has(&node->held, i))
-			released++;
-		node->held.word[i / 64] &= ~(1ULL << (i % 64));
+		release_unit(node, i);
+		released++;
 	}
-	if (released)
-		nd_event_plain(node, EV_LEASE_RELEASED, released,
-			       count_units(&node->held));
-	return moving;
+	if (!released)
+		return;
+	nd_event_plain(node, EV_LEASE_RELEASED, released,
+		       count_units(&node->held));
+	node->heartbeat_at = node->clock.now;
 }
 
 static uint32_t count_units(const struct msg_units *units)
@@ -172,13 +184,27 @@
 		nd_event_plain(node, EV_LEASE_LOST, lost, total);
 }
 
+/*
+ * A VM that is heard but hears no majority cannot learn of its grants. It must
+ * not count as ready, since its units would stay without an owner. The pause
+ * covers a change of the epoch, when all members start to hear anew.
+ */
+static bool hears_quorum(struct node *node)
+{
+	if (nd_quorum(node))
+		node->quorum_at = node->clock.now;
+	return node->quorum_at &&
+	       node->clock.now - node->quorum_at < node->settings.suspect_after;
+}
+
 static void send_heartbeat(struct node *node)
 {
 	struct msg msg = { .kind = MSG_HEARTBEAT };
+	bool ready = eligible(node) && hears_quorum(node);
 
 	quo_holder_heartbeat(&node->holder, node->clock.now,
-			     node->store.current, eligible(node),
-			     node->stopping, &msg.heartbeat);
+			     node->store.current, ready, node->stopping,
+			     &msg.heartbeat);
 	nd_send_granters(node, &msg);
 }
 
@@ -192,14 +218,14 @@
 void nd_member_tick(struct node *node)
 {
 	gb_time interval = node->settings.heartbeat;
-	bool moving;
 
 	update_candidates(node);
+	if (node->moving || node->clock.now >= node->heartbeat_at)
+		update_units(node);
 	if (node->clock.now < node->heartbeat_at)
 		return;
-	moving = update_units(node);
 	report_units(node);
-	if (moving && node->clock.now < node->hurry_until)
+	if (node->moving && node->clock.now < node->hurry_until)
 		interval /= HURRY_FACTOR;
 	node->heartbeat_at = node->clock.now + interval;
 	if (node->store.current && node->self >= 0)
@@ -286,18 +312,6 @@
 	return heard >= cfg_majority(cfg);
 }
 
-static void tell_suspect(void *ctx, uint64_t fingerprint, uint32_t crashes)
-{
-	const struct tell *tell = ctx;
-	struct msg msg = {
-		.kind = MSG_QUARANTINE,
-		.quarantine = { .fingerprint = fingerprint,
-				.crashes = crashes },
-	};
-
-	nd_send(tell->node, tell->vm, &msg);
-}
-
 /* Tells whether the sender has started since it was last heard. */
 static bool is_new_process(struct node *node, const struct msg *msg)
 {
@@ -312,17 +326,13 @@
 	const struct msg_heartbeat *heartbeat = &msg->heartbeat;
 	const struct cfg *cfg = node->store.current;
 	struct msg reply = { .kind = MSG_HEARTBEAT_REPLY };
-	struct tell tell = { .node = node, .vm = msg->from };
 
 	nd_config_heard(node, msg->from, heartbeat->config_version);
 	if (!cfg)
 		return;
-	/*
-	 * A new process has no memory of crashes. It hears of them before the
-	 * reply that may grant it units.
-	 */
+	/* A new process must know of crashes before it is granted units. */
 	if (is_new_process(node, msg))
-		sus_each(node->suspects, tell_suspect, &tell);
+		nd_greet(node, msg->from);
 	quo_members_heard(&node->members, node->clock.now, msg->from,
 			  heartbeat->incarnation, heartbeat->epoch,
 			  heartbeat->config_version);
--- a/tests/scenario/scn-caller.c
+++ b/tests/scenario/scn-caller.c
@@ -85,12 +85,11 @@
 	load = load_of(world, request);
 	if (load) {
 		load->tally.lost++;
-		load->tally.incomplete_at =
-			MAX(load->tally.incomplete_at, request->sent);
-		return;
+		load->tally.incomplete_sent = request->sent;
+	} else {
+		scn_line(world, "answer %.*s none", (int)request->id.len,
+			 request->id.ptr);
 	}
-	scn_line(world, "answer %.*s none", (int)request->id.len,
-		 request->id.ptr);
 }
 
 void scn_request_send(struct scn_world *world, struct scn_request *request,
@@ -137,10 +136,10 @@
 		tally->refused++;
 		tally->refusal_max = MAX(tally->refusal_max, taken);
 	}
+	if (code != GB_OK || coverage < 1.0)
+		tally->incomplete_sent = request->sent;
 	if (code == GB_OK)
 		tally->coverage_sum += coverage;
-	if (code != GB_OK || coverage < 1.0)
-		tally->incomplete_at = world->now;
 }
 
 static gint by_time(gconstpointer a, gconstpointer b)
