upstream: doubt an upstream after an idle time or a failed connection

Cause: an upstream that started again without a lost call was noticed only by the answer after it. Change: when nothing is in flight and the request last answered was sent more than 50 ms ago, or when a request could not be sent, the upstream takes its cold slots until an answer shows its instance.

--- a/packages/upstream/up.c
+++ b/packages/upstream/up.c
@@ -9,6 +9,12 @@
 /* Weight of one sample in the mean service time. */
 #define MEAN_WEIGHT (1.0 / 16)
 
+/*
+ * A lost call tells of a restart, so only an upstream without one can start
+ * again unnoticed; a new process needs longer than this.
+ */
+#define DOUBT_AFTER (50 * GB_MSEC)
+
 /* Bounds the growth of the mean by errors. */
 #define MEAN_MAX (double)GB_SEC
 
@@ -83,6 +89,8 @@
 		return 1;
 	if (up->state == UP_WARM)
 		limit = full_limit(up);
+	if (up->doubted)
+		limit = MIN(limit, cold_slots(up));
 	/* Each request in flight holds a connection. */
 	if (up->limits.connections)
 		limit = MIN(limit, up->limits.connections);
@@ -96,7 +104,8 @@
 
 void up_sent(struct up_upstream *up, gb_time now)
 {
-	(void)now;
+	if (!up->in_flight && now - up->answered >= DOUBT_AFTER)
+		up->doubted = true;
 	up->in_flight++;
 }
 
@@ -176,6 +185,11 @@
 		up->in_flight--;
 	if (instance)
 		up->instance = instance;
+	if (instance || outcome == UP_OK || outcome == UP_REFUSED) {
+		/* A VM that was paused handles an answer late. */
+		up->answered = now - taken;
+		up->doubted = false;
+	}
 	if (changed || outcome == UP_RESET)
 		up_set_cold(up);
 	switch (outcome) {
@@ -196,8 +210,12 @@
 		add_time(up, taken);
 		fail(up, now);
 		break;
-	case UP_RESET:
 	case UP_NOT_SENT:
+		/* It may have refused the connection: it starts again. */
+		up->doubted = true;
+		fail(up, now);
+		break;
+	case UP_RESET:
 		fail(up, now);
 		break;
 	case UP_ERROR:
--- a/packages/upstream/up.h
+++ b/packages/upstream/up.h
@@ -16,6 +16,10 @@
  *	before or from its former owner, is warm again with its first success:
  *	its unchanged instance identity proves that it did not restart.
  *
+ *	An upstream that had nothing to do for a while, or to which a request
+ *	could not be sent, may have started again. It takes its cold slots
+ *	until an answer shows that its instance is the same.
+ *
  *	A circuit breaker opens after consecutive failures; after a growing
  *	pause it lets one trial pass.
  *
@@ -44,6 +48,8 @@
 	uint64_t instance; /* 0 until known */
 	uint64_t known_warm; /* instance that bore its full load; 0 if none */
 	uint32_t in_flight;
+	gb_time answered; /* sending of the request last answered */
+	bool doubted; /* idle since; the next answer shows the instance */
 	uint32_t successes; /* since the current step of the ramp */
 	gb_time ramp_start;
 	uint32_t step; /* slots allowed while ramping */
