--- a/tests/scenario/scn-platform.c
+++ b/tests/scenario/scn-platform.c
@@ -158,6 +158,17 @@
 	call_platform(call_new(vm, ND_STORE_WATCH, tag, after), do_watch);
 }
 
+void scn_platform_set_down(struct scn_world *world, bool down)
+{
+	struct scn_platform *platform = &world->platform;
+
+	if (down && !platform->down)
+		platform->down_since = world->now;
+	if (!down && platform->down)
+		platform->down_time += world->now - platform->down_since;
+	platform->down = down;
+}
+
 /* Stores the object and lets the watches that wait for it end. */
 void scn_platform_put(struct scn_world *world, struct cfg *cfg)
 {
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -133,6 +133,8 @@
 	struct cfg *object;
 	GPtrArray *history; /* all that were accepted, oldest first */
 	bool down;
+	gb_time down_since;
+	gb_time down_time; /* of the outages that have ended */
 	gb_time slow;
 	uint32_t lose_writes; /* writes whose answers get lost */
 	GPtrArray *watches;
@@ -355,6 +357,7 @@
 void scn_platform_watch(struct scn_vm *vm, uint64_t tag, uint64_t after);
 void scn_platform_write(struct scn_vm *vm, uint64_t tag, const struct cfg *cfg,
 			uint64_t base);
+void scn_platform_set_down(struct scn_world *world, bool down);
 void scn_platform_put(struct scn_world *world, struct cfg *cfg);
 
 /* A snapshot that was published at some time; NULL if none was. */
