--- a/packages/daemon/gd-client.c
+++ b/packages/daemon/gd-client.c
@@ -5,8 +5,12 @@
 /* Exchanges have timers of their own; h2o's must never come first. */
 #define IO_TIMEOUT_MS (10 * 60 * 1000)
 
-/* An idle connection is kept this long, since a new one may cost 6 ms. */
-#define POOL_IDLE_MS 60000
+/*
+ * An idle connection is kept, since a new one may cost 6 ms, but given up
+ * before an upstream's usual limit of 60 s: a request that meets its close
+ * counts as lost.
+ */
+#define POOL_IDLE_MS 30000
 
 /* An endpoint without exchanges is forgotten after this time. */
 #define UNUSED_MS (10 * 60 * 1000)
