--- a/tests/process/disconnect.sh
+++ b/tests/process/disconnect.sh
@@ -1,27 +1,67 @@
 # Callers disconnect while their requests run. Guards against upstream work
-# that goes on for nobody.
+# that goes on for nobody, and against an order that is lost or runs again
+# because its caller left.
+# A call to an upstream ends with the lease at the latest.
+vm_settings='[quorum]
+lease_ms = 8000'
 fleet_start
-# shellcheck disable=SC2046
-for port in $(bench_ports) "${desk_ports[@]}"; do
-	control "$port" '{"freeze_ms":8000}'
-done
-begun() {
-	[ "$(sum begun "${search[@]}")" -ge $((before + shards)) ]
-}
 # shellcheck disable=SC2207
 search=($(bench_ports))
-before=$(sum begun "${search[@]}")
-deadline_ms=20000 lookup 0 blade >/dev/null &
-caller=$!
-holds "the lookup runs at an upstream of each shard" until_true 10 begun
+
+freeze() {
+	local port
+	for port in "${search[@]}" "${desk_ports[@]}"; do
+		control "$port" "{\"freeze_ms\":$1}"
+	done
+}
+
 calls_end() {
 	local i
-	for i in 0 1 2 3; do
-		[ "$(curl -s -m 5 "$(url $i)/v1/admin/status" |
+	for i in "${!http_ports[@]}"; do
+		[ "$(curl -s -m 5 "$(url "$i")/v1/admin/status" |
 			pick calls_running)" = 0 ] || return 1
 	done
 }
-holds "it has calls under way" sh -c '! "$@"' sh false
-cancelled=$(sum cancelled "${search[@]}")
-kill "$caller" 2>/dev/null
+
+reaches() {
+	[ "$(sum "$1" "${search[@]}")" -ge "$2" ]
+}
+
+for i in 0 2; do
+	freeze 6000
+	begun=$(($(sum begun "${search[@]}") + shards))
+	cancelled=$(($(sum cancelled "${search[@]}") + shards))
+	# The upstreams hold the answer back, and the caller leaves after 2 s.
+	deadline_ms=50000 lookup $i blade -m 2 >/dev/null &
+	caller=$!
+	holds "vm$((i + 1)): the lookup runs at an upstream of each shard" \
+		until_true 2 reaches begun $begun
+	wait "$caller"
+	fact "vm$((i + 1)): the caller gave up with status of curl" $?
+	holds "vm$((i + 1)): the work at the upstreams is cancelled" \
+		until_true 10 reaches cancelled $cancelled
+	holds "vm$((i + 1)): no call is left on any VM" until_true 10 calls_end
+	freeze 0
+	holds "vm$((i + 1)): a lookup finds all records" \
+		until_true 20 coverage_is_full $i
+done
+
+# An order that was sent runs to its end; its outcome is there for a re-send.
+key=$(new_key left)
+order_begun() {
+	[ "$(sum "runs.$key" "${desk_ports[@]}")" -ge 1 ]
+}
+freeze 4000
+deadline_ms=50000 order 0 "$key" -m 2 >/dev/null &
+caller=$!
+holds "the order runs" until_true 2 order_begun
+wait "$caller"
+fact "its caller gave up with status of curl" $?
+outcome_known() {
+	order "$1" "$key" >"$work/answer"
+	[ "$(pick status <"$work/answer")" = ok ] &&
+		[ "$(pick replayed <"$work/answer")" = true ]
+}
+holds "the outcome is known at another VM" until_true 20 outcome_known 1
+fact "runs of the order" "$(sum "runs.$key" "${desk_ports[@]}")"
 end_test
--- a/tests/process/shutdown.sh
+++ b/tests/process/shutdown.sh
@@ -1,5 +1,8 @@
 # SIGTERM under load, then SIGTERM twice. Guards against requests that a
 # graceful stop cuts, and against a stop that cannot be cut short.
+# A call to an upstream ends with the lease at the latest.
+vm_settings='[quorum]
+lease_ms = 8000'
 fleet_start
 
 # The balancer stops to send callers when the readiness is off; this load asks
