--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -67,7 +67,7 @@
 struct gd_client {
 	h2o_timeout_t io_timeout;
 	h2o_http1client_ctx_t ctx;
-	GHashTable *endpoints; /* "host:port" to struct gd_endpoint */
+	GHashTable *endpoints; /* set of struct gd_endpoint */
 };
 
 struct gd_peers {
@@ -213,6 +213,8 @@
 
 struct gd_endpoint {
 	struct gd *gd;
+	struct gb_str host;
+	uint16_t port;
 	h2o_socketpool_t pool;
 	uint32_t limit;
 	uint32_t active;
@@ -267,6 +269,7 @@
 
 void gd_platform_read(struct gd *gd, uint64_t tag);
 void gd_platform_watch(struct gd *gd, uint64_t tag, uint64_t after);
+void gd_platform_vms(struct gd *gd, uint64_t tag);
 void gd_platform_write(struct gd *gd, uint64_t tag, const struct cfg *cfg,
 		       uint64_t base);
 
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -89,6 +89,14 @@
 	gb_time fetch_at; /* earliest time of the next fetch from a peer */
 };
 
+/* Hosts that leave, by the platform's list of VMs. */
+struct nd_leaving {
+	GHashTable *hosts; /* set of texts */
+	uint64_t hlc; /* stamp of the newest list */
+	uint64_t tag; /* of the outstanding call; 0 for none */
+	gb_time next;
+};
+
 struct node {
 	struct nd_settings settings;
 	const struct nd_ops *ops;
@@ -121,6 +129,8 @@
 	uint64_t live; /* members that counted as live at the last tick */
 	uint64_t candidates; /* members that may own units */
 	int8_t owner[CFG_UNITS]; /* roster index or -1 */
+	struct msg_units draining; /* wanted no longer; their work ends */
+	bool moving; /* units are on their way to or from this VM */
 	struct msg_units held; /* for events */
 	bool was_ready;
 
@@ -137,6 +147,8 @@
 	GQueue *orders_seen_age; /* the same, oldest first */
 	GPtrArray *confirms; /* of struct nd_confirm */
 	struct nd_source source;
+	struct nd_leaving leaving;
+	struct cfg *view; /* configuration with leaving upstreams drained */
 	GQueue *self_queue; /* messages of this VM to itself */
 
 	uint64_t id_base;
@@ -172,6 +184,7 @@
 /* nd-config.c */
 void nd_config_tick(struct node *node);
 void nd_config_offer(struct node *node, struct cfg *cfg);
+void nd_config_apply(struct node *node);
 void nd_config_heard(struct node *node, uint32_t vm, uint64_t version);
 void nd_on_config_fetch(struct node *node, const struct msg *msg);
 void nd_on_config(struct node *node, const struct msg *msg);
@@ -181,6 +194,7 @@
 void nd_owner_follow(struct node *node);
 void nd_owner_leases(struct node *node);
 bool nd_owner_unit_idle(const struct node *node, uint32_t unit);
+void nd_owner_unit_drain(struct node *node, uint32_t unit);
 uint32_t nd_owner_running(const struct node *node);
 void nd_owner_free(struct node *node);
 struct nd_shard *nd_shard_get(struct node *node, int service, uint32_t index);
@@ -209,6 +223,14 @@
 void nd_warm_send(struct node *node, uint32_t vm);
 void nd_on_warm(struct node *node, const struct msg *msg);
 
+/* nd-leaving.c */
+void nd_leaving_tick(struct node *node);
+void nd_leaving_follow(struct node *node);
+void nd_leaving_send(struct node *node, uint32_t vm);
+bool nd_leaving_self(const struct node *node);
+void nd_leaving_done(struct node *node, const struct nd_store_result *result);
+void nd_on_leaving(struct node *node, const struct msg *msg);
+
 /* nd-query.c */
 void nd_query_tick(struct node *node);
 void nd_query_follow(struct node *node);
