Keep one hybrid logical clock per VM

Cause: the daemon stamped its own events from a second clock. It followed the stamps of the node, but the node did not follow its stamps, so stamps of one VM could repeat or run backwards, and the time line showed these events in the wrong order.

Change: the daemon takes its stamps from the node's clock by nd_stamp(). All process tests check that the stamps in the log of a process rise.

--- a/packages/daemon/gd-log.c
+++ b/packages/daemon/gd-log.c
@@ -87,7 +87,6 @@
 
 void gd_event_take(struct gd *gd, const struct ev_event *event)
 {
-	ev_clock_merge(&gd->clock, gd_clock().wall_ms, event->hlc);
 	ev_ring_add(gd->ring, event);
 	gd_log_event(&gd->log, event);
 }
@@ -96,7 +95,7 @@
 	      struct gb_str upstream, int64_t a, int64_t b)
 {
 	struct ev_event event = {
-		.hlc = ev_clock_tick(&gd->clock, gd_clock().wall_ms),
+		.hlc = nd_stamp(gd->node, gd_clock()),
 		.code = code,
 		.vm = gd->settings.node.vm,
 		.request = request,
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -83,7 +83,6 @@
 	struct met_registry metrics;
 	struct node *node;
 	struct ev_ring *ring;
-	struct ev_clock clock; /* for the events of the daemon itself */
 	struct gb_rng rng;
 	struct gd_log log;
 	struct gd_loop loop;
--- a/packages/node/nd-event.c
+++ b/packages/node/nd-event.c
@@ -21,3 +21,8 @@
 {
 	nd_event(node, code, GB_STR(""), GB_STR(""), GB_STR(""), a, b);
 }
+
+uint64_t nd_stamp(struct node *node, struct nd_clock clock)
+{
+	return ev_clock_tick(&node->hlc, clock.wall_ms);
+}
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -245,4 +245,10 @@
 	       struct nd_status *status);
 struct cfg *nd_config(const struct node *node);
 
+/*
+ * Stamps an event of the shell. A VM has one hybrid logical clock, so that the
+ * stamps of all its events rise.
+ */
+uint64_t nd_stamp(struct node *node, struct nd_clock clock);
+
 #endif
--- a/tests/process/facts.sh
+++ b/tests/process/facts.sh
@@ -109,6 +109,23 @@
 	wc -l <"$work/incomplete"
 }
 
+# Lines of the daemons' logs whose stamp is not above that of the line before, of
+# the same process.
+stamps_not_rising() {
+	cat "$work"/vm*.log | awk '
+		match($0, /gentianbend\[[0-9]+\]/) {
+			pid = substr($0, RSTART, RLENGTH)
+			if (!match($0, / hlc=[0-9]+\.[0-9]+/))
+				next
+			split(substr($0, RSTART + 5, RLENGTH - 5), at, ".")
+			if (at[1] < ms[pid] ||
+			    (at[1] == ms[pid] && at[2] <= count[pid]))
+				print
+			ms[pid] = at[1] + 0
+			count[pid] = at[2] + 0
+		}'
+}
+
 # Stops all daemons in the usual way and prints the last facts.
 end_test() {
 	local name
@@ -120,6 +137,9 @@
 			;;
 		esac
 	done
+	stamps_not_rising >"$work/stamps"
+	head -n 5 "$work/stamps" >&2
+	fact "log lines whose stamp does not rise" "$(wc -l <"$work/stamps")"
 	fact "sanitizer reports" "$(sanitizer_reports | wc -l)"
 	sanitizer_reports >&2
 	return 0
