Report the value of an option that breaks a rule between two options

Cause: the check of rules between options passed an empty value to the report, so lease_ms, drift_ms and suspect_ms were reported without their value, also when it was the default.

Before: [quorum] lease_ms: value out of range. After: [quorum] lease_ms = "400": value out of range.

--- a/packages/settings/set-read.c
+++ b/packages/settings/set-read.c
@@ -24,6 +24,7 @@
 struct cross_rule {
 	struct gb_str section;
 	struct gb_str key;
+	gb_time (*value)(const struct nd_settings *node);
 	bool (*good)(const struct nd_settings *node);
 	void (*allowed)(const struct nd_settings *node, struct gb_buf *out);
 };
@@ -43,10 +44,13 @@
 		    const char *value);
 static void set_defaults(struct reader *reader);
 static void check_required(struct reader *reader);
+static gb_time lease_value(const struct nd_settings *node);
 static bool lease_good(const struct nd_settings *node);
 static void lease_allowed(const struct nd_settings *node, struct gb_buf *out);
+static gb_time drift_value(const struct nd_settings *node);
 static bool drift_good(const struct nd_settings *node);
 static void drift_allowed(const struct nd_settings *node, struct gb_buf *out);
+static gb_time suspect_value(const struct nd_settings *node);
 static bool suspect_good(const struct nd_settings *node);
 static void suspect_allowed(const struct nd_settings *node, struct gb_buf *out);
 static void check_cross(struct reader *reader);
@@ -57,14 +61,17 @@
 static const struct cross_rule cross_rules[] = {
 	{ .section = { "quorum", 6 },
 	  .key = { "lease_ms", 8 },
+	  .value = lease_value,
 	  .good = lease_good,
 	  .allowed = lease_allowed },
 	{ .section = { "quorum", 6 },
 	  .key = { "drift_ms", 8 },
+	  .value = drift_value,
 	  .good = drift_good,
 	  .allowed = drift_allowed },
 	{ .section = { "quorum", 6 },
 	  .key = { "suspect_ms", 10 },
+	  .value = suspect_value,
 	  .good = suspect_good,
 	  .allowed = suspect_allowed },
 };
@@ -275,6 +282,11 @@
 				       GB_STR(""));
 }
 
+static gb_time lease_value(const struct nd_settings *node)
+{
+	return node->lease;
+}
+
 static bool lease_good(const struct nd_settings *node)
 {
 	return node->lease >= 3 * node->heartbeat;
@@ -286,6 +298,11 @@
 		    3 * node->heartbeat / GB_MSEC);
 }
 
+static gb_time drift_value(const struct nd_settings *node)
+{
+	return node->drift;
+}
+
 static bool drift_good(const struct nd_settings *node)
 {
 	return 2 * node->drift < node->lease;
@@ -297,6 +314,11 @@
 		    node->lease / 2.0 / GB_MSEC);
 }
 
+static gb_time suspect_value(const struct nd_settings *node)
+{
+	return node->suspect_after;
+}
+
 /* A shorter time would count every VM as dead between two heartbeats. */
 static bool suspect_good(const struct nd_settings *node)
 {
@@ -317,13 +339,16 @@
 		const struct cross_rule *rule = &cross_rules[i];
 		size_t index = set_find(rule->section, rule->key);
 		struct gb_buf allowed = GB_BUF_INIT;
+		struct gb_buf value = GB_BUF_INIT;
 
 		if (rule->good(node))
 			continue;
+		gb_buf_addf(&value, "%" PRId64, rule->value(node) / GB_MSEC);
 		rule->allowed(node, &allowed);
 		add_problem(reader, GB_ERR_OUT_OF_RANGE, reader->seen[index],
-			    rule->section, rule->key, GB_STR(""),
+			    rule->section, rule->key, gb_buf_str(&value),
 			    gb_buf_str(&allowed));
+		gb_buf_free(&value);
 		gb_buf_free(&allowed);
 	}
 }
