Count what is offered to upstreams, not what they accept

The stand-in sheds what is over its limits, so the most in flight could never exceed them and the checks of these limits could not fail. The new figures offered_most and cold_offered_most include the request that is shed.

--- a/tests/standin/upstream-job.c
+++ b/tests/standin/upstream-job.c
@@ -18,6 +18,7 @@
 			json_t *value);
 static void shed(struct ups_replica *replica, h2o_req_t *req);
 static bool overloaded(const struct ups_replica *replica);
+static void note_offered(struct ups_replica *replica);
 
 bool ups_is_cold(const struct ups_replica *replica)
 {
@@ -75,6 +76,17 @@
 	si_reply(req, 503, GB_STR("{\"error\":\"shed\"}"));
 }
 
+static void note_offered(struct ups_replica *replica)
+{
+	struct ups_stats *stats = &replica->stats;
+	uint32_t offered = ups_in_flight(replica) + 1;
+
+	stats->offered_most = MAX(stats->offered_most, offered);
+	if (ups_is_cold(replica))
+		stats->cold_offered_most =
+			MAX(stats->cold_offered_most, offered);
+}
+
 /* Tells whether one request more is too much. */
 static bool overloaded(const struct ups_replica *replica)
 {
@@ -261,6 +273,7 @@
 			     json_pack("{s:s}", "error", "snapshot"));
 		return;
 	}
+	note_offered(replica);
 	if (overloaded(replica)) {
 		bool fails =
 			ups_is_cold(replica) && replica->options->cold_fails;
--- a/tests/standin/upstream.h
+++ b/tests/standin/upstream.h
@@ -47,6 +47,9 @@
 	uint32_t running_most;
 	uint32_t in_flight_most;
 	uint32_t cold_most;
+	/* In flight with the one that arrives, also if it is then shed. */
+	uint32_t offered_most;
+	uint32_t cold_offered_most;
 };
 
 /* How the next answer to a run is spoilt. */
