--- a/packages/daemon/gd-link.c
+++ b/packages/daemon/gd-link.c
@@ -3,8 +3,12 @@
 #include <errno.h>
 #include <string.h>
 
-/* An idle connection is kept this long, since a new one may cost 6 ms. */
-#define IDLE_MAX (60 * GB_SEC)
+/*
+ * An idle connection is kept, since a new one may cost 6 ms, but given up
+ * before an upstream's usual limit of 60 s: a request that meets its close
+ * counts as lost.
+ */
+#define IDLE_MAX (30 * GB_SEC)
 
 /*
  * Servers close connections that were idle for seconds. Then the end may have
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -133,6 +133,8 @@
 	struct cfg *object;
 	GPtrArray *history; /* all that were accepted, oldest first */
 	bool down;
+	gb_time down_since;
+	gb_time down_time; /* of the outages that have ended */
 	gb_time slow;
 	uint32_t lose_writes; /* writes whose answers get lost */
 	GHashTable *leaving; /* host to the time of its listing */
@@ -362,6 +364,7 @@
 /* Notes that the list of VMs shows a host as leaving, or no longer. */
 void scn_platform_set_leaving(struct scn_world *world, struct gb_str host,
 			      bool leaving);
+void scn_platform_set_down(struct scn_world *world, bool down);
 void scn_platform_put(struct scn_world *world, struct cfg *cfg);
 
 /* A snapshot that was published at some time; NULL if none was. */
