Notice an upstream that started anew by its closed idle connections

The daemon compares the count of pooled connections with what it left there. A call that is on its way within one hop of the restart still meets the new process; the fake resets it, as TCP does.

--- a/packages/daemon/gd-client.c
+++ b/packages/daemon/gd-client.c
@@ -23,6 +23,7 @@
 
 #define ANSWER_MAX (8 * 1024 * 1024)
 
+static size_t idle_connections(const struct gd_endpoint *endpoint);
 static void endpoint_free(struct gd *gd, void *arg);
 static void on_unused(uv_timer_t *timer);
 static void on_unused_closed(uv_handle_t *handle);
@@ -150,6 +151,23 @@
 		exchange_connect(g_queue_pop_head(&endpoint->waiting));
 }
 
+/* The pool counts the connections in use as well. */
+static size_t idle_connections(const struct gd_endpoint *endpoint)
+{
+	size_t count = endpoint->pool._shared.count;
+
+	return count > endpoint->active ? count - endpoint->active : 0;
+}
+
+bool gd_endpoint_lost(struct gd_endpoint *endpoint)
+{
+	size_t idle = idle_connections(endpoint);
+	bool lost = idle < endpoint->idle;
+
+	endpoint->idle = idle;
+	return lost;
+}
+
 void gd_exchange_start(struct gd *gd, struct gd_exchange *x,
 		       struct gd_endpoint *endpoint, gb_time timeout,
 		       bool urgent)
@@ -176,6 +194,8 @@
 
 	x->active = true;
 	endpoint->active++;
+	if (endpoint->idle)
+		endpoint->idle--;
 	h2o_http1client_connect_with_pool(&x->client, x,
 					  &endpoint->gd->client.ctx,
 					  &endpoint->pool, on_connect);
@@ -191,7 +211,10 @@
 	x->ended = true;
 	if (x->active)
 		endpoint->active--;
-	else
+	/* Any other end closes the connection. */
+	if (x->active && outcome == GD_ANSWERED)
+		endpoint->idle++;
+	else if (!x->active)
 		g_queue_remove(&endpoint->waiting, x);
 	endpoint_pump_later(endpoint);
 	if (!endpoint->active && !endpoint->waiting.length)
--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -167,7 +167,7 @@
 	call->result.shard = request->shard;
 	endpoint = gd_endpoint(gd, request->host, request->port,
 			       request->connections);
-	if (!endpoint) {
+	if (!endpoint || gd_endpoint_lost(endpoint)) {
 		call->result.status = ND_UPSTREAM_NOT_SENT;
 		gd_defer(gd, call_deliver, call);
 		return;
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -217,6 +217,7 @@
 	h2o_socketpool_t pool;
 	uint32_t limit;
 	uint32_t active;
+	size_t idle; /* connections in the pool when it was last looked at */
 	GQueue waiting; /* of struct gd_exchange */
 	bool pumping; /* a deferred start is due */
 	uv_timer_t unused; /* forgets the endpoint when it ends */
@@ -253,6 +254,8 @@
 
 /* Begins an exchange whose functions are set; an urgent one does not queue
  * behind others. */
+/* Tells, once, that the other side closed an idle connection. */
+bool gd_endpoint_lost(struct gd_endpoint *endpoint);
 void gd_exchange_start(struct gd *gd, struct gd_exchange *x,
 		       struct gd_endpoint *endpoint, gb_time timeout,
 		       bool urgent);
--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -361,7 +361,9 @@
 			  reply->incarnation, reply->epoch,
 			  reply->config_version);
 	quo_holder_reply(&node->holder, cfg, msg->from, reply);
-	if (reply->epoch == cfg->epoch && reply->config_version <= cfg->version)
+	/* A silent granter grants nothing, so it does not make a VM ready. */
+	if (reply->epoch == cfg->epoch && !reply->silent &&
+	    reply->config_version <= cfg->version)
 		node->reply_at[index] = node->clock.now;
 	if (reply->epoch == cfg->epoch) {
 		node->reply_live = reply->live;
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -62,7 +62,12 @@
 enum nd_upstream_status {
 	ND_UPSTREAM_OK,
 	ND_UPSTREAM_REFUSED, /* certain: the upstream did not run it */
-	ND_UPSTREAM_NOT_SENT, /* certain: no byte left this VM */
+	/*
+	 * Certain: no byte left this VM. Also the answer to the first call
+	 * after an idle connection was closed by the upstream, which may have
+	 * started anew, so that the node can hold back.
+	 */
+	ND_UPSTREAM_NOT_SENT,
 	ND_UPSTREAM_RESET, /* connection lost after sending */
 	ND_UPSTREAM_TIMEOUT,
 	ND_UPSTREAM_GONE, /* the snapshot is not there any longer */
--- a/tests/scenario/scn-upstream.c
+++ b/tests/scenario/scn-upstream.c
@@ -312,6 +312,12 @@
 		give(world, sent, ND_UPSTREAM_NOT_SENT, 0);
 		return;
 	}
+	if (!world->call_ended && upstream->lost[vm_index] &&
+	    world->now >= upstream->lost[vm_index]) {
+		upstream->lost[vm_index] = 0;
+		give(world, sent, ND_UPSTREAM_NOT_SENT, 0);
+		return;
+	}
 	if (!upstream->up ||
 	    !connect_call(world, sent, call->connections, &extra)) {
 		give(world, sent, ND_UPSTREAM_NOT_SENT, 2 * hop);
@@ -513,6 +519,11 @@
 	while (upstream->calls->len)
 		end_call(world, g_ptr_array_index(upstream->calls, 0),
 			 ND_UPSTREAM_RESET);
+	for (uint32_t i = 0; i < world->vms; i++)
+		if (upstream->connections[i])
+			upstream->lost[i] =
+				world->now +
+				scn_hop(world, world->vm[i].dc, upstream->dc);
 	memset(upstream->connections, 0, sizeof(upstream->connections));
 	memset(upstream->busy, 0, sizeof(upstream->busy));
 	if (down < GB_NEVER)
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -90,6 +90,7 @@
 	uint32_t connections[SCN_VMS_MAX];
 	gb_time warm_until; /* new connections are open until used */
 	uint32_t busy[SCN_VMS_MAX]; /* connections in use, by VM */
+	gb_time lost[SCN_VMS_MAX]; /* when the VM sees a closed connection */
 	uint64_t received;
 	uint64_t shed;
 	uint32_t peak_load;
