--- a/packages/node/nd-config.c
+++ b/packages/node/nd-config.c
@@ -155,6 +155,8 @@
 	if (result->tag == source->watch_tag)
 		source->watch_tag = 0;
 	if (result->op == ND_STORE_VMS) {
+		if (source->down && result->status != ND_STORE_DOWN)
+			store_answered(node);
 		nd_leaving_done(node, result);
 		nd_end(node);
 		return;
