--- a/tests/matrix/mtx-main.c
+++ b/tests/matrix/mtx-main.c
@@ -16,9 +16,11 @@
  * passed, 1 a cell failed, 2 usage.
  */
 
-/* Each so many pairs of faults are run with one seed. The number has no factor
- * in common with the number of faults, so that all faults meet all steps. */
-#define STRIDE 13
+/*
+ * One of so many pairs of faults is run with one seed. The number has no factor
+ * in common with the number of faults, so that all faults meet all steps.
+ */
+#define STRIDE 7
 
 struct run {
 	uint64_t seed;
