--- a/bench/control.h
+++ b/bench/control.h
@@ -54,6 +54,12 @@
 void bct_cell_run(const struct bct_cell_options *options,
 		  struct bct_cell *cell);
 
+/*
+ * Kills all members of the data centre that has two of the four granters;
+ * returns the time until the others hold all units.
+ */
+gb_time bct_cell_lose_dc(const struct bct_cell_options *options);
+
 /* CPU seconds of this process. */
 double bct_cpu(void);
 
@@ -73,6 +79,12 @@
 void bct_fit_add(struct bct_fit *fit, double x, double y);
 void bct_fit_print(const struct bct_fit *fit);
 
+/* Prints what cells of several sizes answer under load. */
+void bct_load_run(void);
+
+/* Prints how evenly the hash spreads shards over members. */
+void bct_placement_run(void);
+
 /* Prints size, time and memory of configurations of several sizes. */
 void bct_config_run(void);
 
--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -1,12 +1,18 @@
 #include "daemon/gd.h"
 
+#include <string.h>
+
+/* Room for the head of a request, so that its buffer grows once. */
+#define HEAD_SIZE 448
+
 /* A cancellation is worth little after this time. */
 #define CANCEL_TIMEOUT GB_SEC
 
 struct gd_upstream_call {
 	struct gd_exchange x; /* first, so that one is cast to the other */
 	struct gd *gd;
-	struct nd_upstream_call call; /* strings are owned */
+	struct nd_upstream_call call; /* its strings are in strings */
+	char *strings;
 	struct nd_upstream_result result;
 	struct gd_upstream_cancel *cancel; /* under way, else NULL */
 	gb_time deadline;
@@ -25,6 +31,9 @@
 	void (*take)(struct gd_upstream_call *call, struct gb_str value);
 };
 
+static void put_number(struct gb_buf *out, uint64_t value);
+static void put_hex(struct gb_buf *out, uint64_t value);
+static void copy_strings(struct gd_upstream_call *call);
 static bool call_prepare(struct gd_exchange *x, struct gb_buf *out);
 static void call_header(struct gd_exchange *x, struct gb_str name,
 			struct gb_str value);
@@ -58,20 +67,36 @@
 	{ GB_STR("not-run"), take_not_run },
 };
 
+/* Returns 0 for a text that is not a hexadecimal number of 64 bits. */
 static uint64_t parse_hex(struct gb_str text)
 {
-	char *copy = gb_str_to_c(text);
-	uint64_t value = g_ascii_strtoull(copy, NULL, 16);
+	uint64_t value = 0;
+
+	if (text.len > 16)
+		return 0;
+	for (size_t i = 0; i < text.len; i++) {
+		int digit = g_ascii_xdigit_value(text.ptr[i]);
 
-	g_free(copy);
+		if (digit < 0)
+			return 0;
+		value = value << 4 | (unsigned int)digit;
+	}
 	return value;
 }
 
+/* Returns 0 for a text that is not a decimal number up to INT64_MAX. */
 static uint64_t parse_number(struct gb_str text)
 {
-	int64_t value;
-
-	return gb_str_to_int(text, 0, INT64_MAX, &value) ? 0 : value;
+	uint64_t value = 0;
+
+	if (text.len > 19)
+		return 0;
+	for (size_t i = 0; i < text.len; i++) {
+		if (!g_ascii_isdigit(text.ptr[i]))
+			return 0;
+		value = value * 10 + (uint64_t)(text.ptr[i] - '0');
+	}
+	return value > INT64_MAX ? 0 : value;
 }
 
 static void take_attempt(struct gd_upstream_call *call, struct gb_str value)
@@ -110,6 +135,25 @@
 	call->not_run = gb_str_eq(value, GB_STR("1"));
 }
 
+/* Makes the strings of the call its own, in one block. */
+static void copy_strings(struct gd_upstream_call *call)
+{
+	struct nd_upstream_call *of = &call->call;
+	struct gb_str *all[] = { &of->service, &of->replica, &of->host,
+				 &of->key, &of->body };
+	size_t size = 0, used = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
+		size += all[i]->len;
+	call->strings = g_malloc(size);
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
+		if (all[i]->len)
+			memcpy(call->strings + used, all[i]->ptr, all[i]->len);
+		all[i]->ptr = call->strings + used;
+		used += all[i]->len;
+	}
+}
+
 void gd_upstream_send(struct gd *gd, const struct nd_upstream_call *request)
 {
 	struct gd_upstream_call *call = g_new0(struct gd_upstream_call, 1);
@@ -117,11 +161,7 @@
 
 	call->gd = gd;
 	call->call = *request;
-	call->call.service = gb_str_dup(request->service);
-	call->call.replica = gb_str_dup(request->replica);
-	call->call.host = gb_str_dup(request->host);
-	call->call.key = gb_str_dup(request->key);
-	call->call.body = gb_str_dup(request->body);
+	copy_strings(call);
 	call->deadline = gd_now() + request->timeout;
 	call->result.call = request->call;
 	call->result.shard = request->shard;
@@ -142,6 +182,31 @@
 			  request->timeout + ND_ANSWER_GRACE, false);
 }
 
+/* Appends a decimal number; printf would take most of a request's time. */
+static void put_number(struct gb_buf *out, uint64_t value)
+{
+	char digits[20];
+	size_t at = sizeof(digits);
+
+	do {
+		digits[--at] = '0' + value % 10;
+		value /= 10;
+	} while (value);
+	gb_buf_add(out, (struct gb_str){ .ptr = digits + at,
+					 .len = sizeof(digits) - at });
+}
+
+/* Appends an attempt identity as its 16 hexadecimal digits. */
+static void put_hex(struct gb_buf *out, uint64_t value)
+{
+	char digits[16];
+
+	for (size_t at = sizeof(digits); at-- > 0; value >>= 4)
+		digits[at] = "0123456789abcdef"[value & 0xf];
+	gb_buf_add(out,
+		   (struct gb_str){ .ptr = digits, .len = sizeof(digits) });
+}
+
 /* Writes the request if the lease and the deadline still permit it. */
 static bool call_prepare(struct gd_exchange *x, struct gb_buf *out)
 {
@@ -151,22 +216,31 @@
 
 	if (now >= request->expires || now >= call->deadline)
 		return false;
-	gb_buf_addf(out, "POST /shard/%u/%s HTTP/1.1\r\nHost: %.*s:%u\r\n",
-		    request->shard, request->order ? "order" : "lookup",
-		    (int)request->host.len, request->host.ptr, request->port);
-	gb_buf_addf(out, "Service: %.*s\r\n", (int)request->service.len,
-		    request->service.ptr);
-	gb_buf_addf(out, "Attempt-Id: %016" PRIx64 "\r\n", request->call);
-	gb_buf_addf(out, "Snapshot: %" PRIu64 "\r\n", request->snapshot);
-	gb_buf_addf(out, "Timeout-Us: %" PRId64 "\r\n",
-		    MIN(call->deadline, request->expires) - now);
-	if (request->order)
-		gb_buf_addf(out, "Idempotency-Key: %.*s\r\n",
-			    (int)request->key.len, request->key.ptr);
-	gb_buf_addf(out,
-		    "Content-Type: application/json\r\n"
-		    "Content-Length: %zu\r\n\r\n",
-		    request->body.len);
+	out->cap = HEAD_SIZE + request->body.len;
+	out->ptr = g_malloc(out->cap);
+	gb_buf_add(out, GB_STR("POST /shard/"));
+	put_number(out, request->shard);
+	gb_buf_add(out, request->order ? GB_STR("/order") : GB_STR("/lookup"));
+	gb_buf_add(out, GB_STR(" HTTP/1.1\r\nHost: "));
+	gb_buf_add(out, request->host);
+	gb_buf_addc(out, ':');
+	put_number(out, request->port);
+	gb_buf_add(out, GB_STR("\r\nService: "));
+	gb_buf_add(out, request->service);
+	gb_buf_add(out, GB_STR("\r\nAttempt-Id: "));
+	put_hex(out, request->call);
+	gb_buf_add(out, GB_STR("\r\nSnapshot: "));
+	put_number(out, request->snapshot);
+	gb_buf_add(out, GB_STR("\r\nTimeout-Us: "));
+	put_number(out, MIN(call->deadline, request->expires) - now);
+	if (request->order) {
+		gb_buf_add(out, GB_STR("\r\nIdempotency-Key: "));
+		gb_buf_add(out, request->key);
+	}
+	gb_buf_add(out, GB_STR("\r\nContent-Type: application/json\r\n"
+			       "Content-Length: "));
+	put_number(out, request->body.len);
+	gb_buf_add(out, GB_STR("\r\n\r\n"));
 	gb_buf_add(out, request->body);
 	return true;
 }
@@ -260,11 +334,7 @@
 		call->result.status = ND_UPSTREAM_ERROR;
 	nd_upstream_done(gd->node, gd_clock(), &call->result);
 	gd_exchange_clear(&call->x);
-	gb_str_free(&call->call.service);
-	gb_str_free(&call->call.replica);
-	gb_str_free(&call->call.host);
-	gb_str_free(&call->call.key);
-	gb_str_free(&call->call.body);
+	g_free(call->strings);
 	g_free(call);
 }
 
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -35,6 +35,7 @@
 	MSG_QUARANTINE,
 	MSG_WARM,
 	MSG_JOIN,
+	MSG_LEAVING,
 	MSG_KINDS
 };
 
@@ -68,6 +69,7 @@
 	MSG_STATUS_OK,
 	MSG_STATUS_NOT_RUN, /* certain: no upstream saw it */
 	MSG_STATUS_NOT_OWNER, /* as NOT_RUN; the owner has changed */
+	MSG_STATUS_MOVED, /* ran in part; the owner changes, send it again */
 	MSG_STATUS_OVERLOAD, /* as NOT_RUN; the wait passes the deadline */
 	MSG_STATUS_UNAVAILABLE, /* as NOT_RUN; no upstream takes work now */
 	MSG_STATUS_UNKNOWN, /* an upstream may have run it */
@@ -196,6 +198,13 @@
 	struct gb_str dc;
 };
 
+/* The hosts that leave, by the platform's list of VMs; replaces earlier ones.
+ */
+struct msg_leaving {
+	struct gb_str *hosts;
+	uint32_t hosts_len;
+};
+
 struct msg {
 	enum msg_kind kind;
 	uint32_t from; /* VM id */
@@ -215,6 +224,7 @@
 		struct msg_quarantine quarantine;
 		struct msg_warm warm;
 		struct msg_join join;
+		struct msg_leaving leaving;
 	};
 };
 
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -137,6 +137,7 @@
 	gb_time down_time; /* of the outages that have ended */
 	gb_time slow;
 	uint32_t lose_writes; /* writes whose answers get lost */
+	GHashTable *leaving; /* host to the time of its listing */
 	GPtrArray *watches;
 	uint64_t reads, watches_count, writes;
 };
@@ -229,6 +230,7 @@
 	uint64_t unknown;
 	uint64_t lost;
 	gb_time refusal_max;
+	gb_time incomplete_sent; /* when the last one of those was sent */
 	double coverage_sum;
 	GArray *times; /* of gb_time, complete answers */
 };
@@ -357,6 +359,11 @@
 void scn_platform_watch(struct scn_vm *vm, uint64_t tag, uint64_t after);
 void scn_platform_write(struct scn_vm *vm, uint64_t tag, const struct cfg *cfg,
 			uint64_t base);
+void scn_platform_vms(struct scn_vm *vm, uint64_t tag);
+
+/* Notes that the list of VMs shows a host as leaving, or no longer. */
+void scn_platform_set_leaving(struct scn_world *world, struct gb_str host,
+			      bool leaving);
 void scn_platform_set_down(struct scn_world *world, bool down);
 void scn_platform_put(struct scn_world *world, struct cfg *cfg);
 
