--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -218,6 +218,7 @@
 	struct sockaddr_storage addr;
 	uint32_t limit;
 	uint32_t active;
+	size_t idle; /* connections in the pool when it was last looked at */
 	GQueue waiting; /* of struct gd_exchange */
 	GQueue idle; /* of struct gd_link, last used first */
 	bool pumping; /* a deferred start is due */
@@ -254,6 +255,8 @@
 
 /* Begins an exchange whose functions are set; an urgent one does not queue
  * behind others. */
+/* Tells, once, that the other side closed an idle connection. */
+bool gd_endpoint_lost(struct gd_endpoint *endpoint);
 void gd_exchange_start(struct gd *gd, struct gd_exchange *x,
 		       struct gd_endpoint *endpoint, gb_time timeout,
 		       bool urgent);
