daemon: note the close of an idle connection where it is read

The connections are now the daemon's own, so the end of an idle one is read in the loop and needs no count.

--- a/packages/daemon/gd-client.c
+++ b/packages/daemon/gd-client.c
@@ -6,19 +6,6 @@
 /* An endpoint without exchanges is forgotten after this time. */
 #define UNUSED_MS (10 * 60 * 1000)
 
-<<<<<<< HEAD
-/*
- * A request up to this size leaves in one segment with nothing unacknowledged
- * before it, so TCP does not hold it back and needs no option.
- */
-#define ONE_SEGMENT 1200
-
-#define ANSWER_MAX (8 * 1024 * 1024)
-
-static size_t idle_connections(const struct gd_endpoint *endpoint);
-static void endpoint_free(struct gd *gd, void *arg);
-=======
->>>>>>> part-h
 static void on_unused(uv_timer_t *timer);
 static void on_unused_closed(uv_handle_t *handle);
 static guint endpoint_hash(gconstpointer key);
@@ -135,20 +122,11 @@
 		exchange_connect(g_queue_pop_head(&endpoint->waiting));
 }
 
-/* The pool counts the connections in use as well. */
-static size_t idle_connections(const struct gd_endpoint *endpoint)
-{
-	size_t count = endpoint->pool._shared.count;
-
-	return count > endpoint->active ? count - endpoint->active : 0;
-}
-
 bool gd_endpoint_lost(struct gd_endpoint *endpoint)
 {
-	size_t idle = idle_connections(endpoint);
-	bool lost = idle < endpoint->idle;
+	bool lost = endpoint->lost;
 
-	endpoint->idle = idle;
+	endpoint->lost = false;
 	return lost;
 }
 
@@ -177,15 +155,7 @@
 
 	x->active = true;
 	endpoint->active++;
-<<<<<<< HEAD
-	if (endpoint->idle)
-		endpoint->idle--;
-	h2o_http1client_connect_with_pool(&x->client, x,
-					  &endpoint->gd->client.ctx,
-					  &endpoint->pool, on_connect);
-=======
 	gd_link_start(endpoint, x);
->>>>>>> part-h
 }
 
 void gd_exchange_end(struct gd_exchange *x, enum gd_outcome outcome)
@@ -197,10 +167,7 @@
 	x->ended = true;
 	if (x->active)
 		endpoint->active--;
-	/* Any other end closes the connection. */
-	if (x->active && outcome == GD_ANSWERED)
-		endpoint->idle++;
-	else if (!x->active)
+	else
 		g_queue_remove(&endpoint->waiting, x);
 	endpoint_pump_later(endpoint);
 	if (!endpoint->active && !endpoint->waiting.length)
--- a/packages/daemon/gd-link.c
+++ b/packages/daemon/gd-link.c
@@ -76,6 +76,7 @@
 		if (gd_now() - link->idle_since < IDLE_CHECK ||
 		    !is_closed(link))
 			break;
+		endpoint->lost = true;
 		gd_link_close(link);
 	}
 	if (link) {
@@ -176,6 +177,7 @@
 		return;
 	/* Bytes without an exchange belong to no answer that is awaited. */
 	if (!link->x) {
+		link->endpoint->lost |= len < 0;
 		gd_link_close(link);
 		return;
 	}
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -218,9 +218,9 @@
 	struct sockaddr_storage addr;
 	uint32_t limit;
 	uint32_t active;
-	size_t idle; /* connections in the pool when it was last looked at */
 	GQueue waiting; /* of struct gd_exchange */
 	GQueue idle; /* of struct gd_link, last used first */
+	bool lost; /* the other side closed an idle connection */
 	bool pumping; /* a deferred start is due */
 	uv_timer_t unused; /* forgets the endpoint when it ends */
 };
@@ -253,10 +253,11 @@
 struct gd_endpoint *gd_endpoint(struct gd *gd, struct gb_str host,
 				uint16_t port, uint32_t limit);
 
-/* Begins an exchange whose functions are set; an urgent one does not queue
- * behind others. */
 /* Tells, once, that the other side closed an idle connection. */
 bool gd_endpoint_lost(struct gd_endpoint *endpoint);
+
+/* Begins an exchange whose functions are set; an urgent one does not queue
+ * behind others. */
 void gd_exchange_start(struct gd *gd, struct gd_exchange *x,
 		       struct gd_endpoint *endpoint, gb_time timeout,
 		       bool urgent);
