--- a/tests/scenario/scn-caller.c
+++ b/tests/scenario/scn-caller.c
@@ -180,6 +180,7 @@
 	struct scn_load *load;
 
 	scn_fact(world, &fact);
+	request->replied = true;
 	if (request->answered)
 		return;
 	request->answered = true;
--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -215,6 +215,7 @@
 	bool stopping; /* the VM was stopping when it took the request */
 	bool answered;
 	bool quiet; /* part of a load: no line in the trace */
+	bool replied; /* the VM answered, in time or not */
 	bool lost; /* the caller gave up without an answer */
 	enum gb_code code; /* of the answer */
 	double coverage;
