--- a/tests/process/facts.sh
+++ b/tests/process/facts.sh
@@ -126,6 +126,15 @@
 		}'
 }
 
+# An order with one of the keys has begun at an upstream.
+keys_run() {
+	local key
+	for key in "${keys[@]}"; do
+		[ "$(sum "runs.$key" "${desk_ports[@]}")" -ge 1 ] && return
+	done
+	return 1
+}
+
 # Stops all daemons in the usual way and prints the last facts.
 end_test() {
 	local name
--- a/tests/process/kill.sh
+++ b/tests/process/kill.sh
@@ -1,5 +1,7 @@
 # A daemon is killed under load. Guards against units that nobody takes over,
 # and against an order that runs again when its caller sends it to another VM.
+# Orders take long enough to be under way when the VM dies.
+desk_args+=(--service-us 150000)
 fleet_start
 load_start 3 1 1 2 3
 load_more 50
@@ -12,6 +14,7 @@
 	order 0 "${keys[i - 1]}" >"$work/first.$i" &
 	callers[i]=$!
 done
+holds "orders of the VM run at the upstreams" until_true 10 keys_run
 signal vm1 KILL
 ended vm1
 for i in 1 2 3 4 5 6 7 8; do
--- a/tests/process/shutdown.sh
+++ b/tests/process/shutdown.sh
@@ -3,6 +3,8 @@
 # A call to an upstream ends with the lease at the latest.
 vm_settings='[quorum]
 lease_ms = 8000'
+# Orders take long enough to be under way when the signal comes.
+desk_args+=(--service-us 150000)
 fleet_start
 
 # The balancer stops to send callers when the readiness is off; this load asks
@@ -20,12 +22,15 @@
 done
 load_start 2 1 1 2 3
 load_more 30
+keys=()
 # Requests that run while the signal comes.
 for i in 1 2 3 4; do
-	order 0 "$(new_key running-$i)" -w ' %{http_code}\n' \
+	keys+=("$(new_key "running-$i")")
+	order 0 "${keys[i - 1]}" -w ' %{http_code}\n' \
 		>"$work/running.$i" &
 	callers[i]=$!
 done
+holds "orders run" until_true 10 keys_run
 signal vm1 TERM
 holds "the readiness goes off while requests are still answered" \
 	until_true 5 ready_is 0 false
