--- a/tests/scenario/scn.h
+++ b/tests/scenario/scn.h
@@ -90,6 +90,7 @@
 	uint32_t connections[SCN_VMS_MAX];
 	gb_time warm_until; /* new connections are open until used */
 	uint32_t busy[SCN_VMS_MAX]; /* connections in use, by VM */
+	gb_time lost[SCN_VMS_MAX]; /* when the VM sees a closed connection */
 	uint64_t received;
 	uint64_t shed;
 	uint32_t peak_load;
@@ -133,6 +134,8 @@
 	struct cfg *object;
 	GPtrArray *history; /* all that were accepted, oldest first */
 	bool down;
+	gb_time down_since;
+	gb_time down_time; /* of the outages that have ended */
 	gb_time slow;
 	uint32_t lose_writes; /* writes whose answers get lost */
 	GHashTable *leaving; /* host to the time of its listing */
@@ -362,6 +365,7 @@
 /* Notes that the list of VMs shows a host as leaving, or no longer. */
 void scn_platform_set_leaving(struct scn_world *world, struct gb_str host,
 			      bool leaving);
+void scn_platform_set_down(struct scn_world *world, bool down);
 void scn_platform_put(struct scn_world *world, struct cfg *cfg);
 
 /* A snapshot that was published at some time; NULL if none was. */
