--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -122,7 +122,6 @@
 	gb_time heartbeat_at;
 	gb_time hurry_until; /* heartbeats go faster until then */
 	gb_time reply_at[CFG_VMS_MAX]; /* sent by a granter as new as us */
-	gb_time quorum_at; /* when a majority was last heard */
 	uint64_t reply_epoch; /* of the positions in reply_at */
 	uint64_t reply_ready; /* candidates as the last granter saw them */
 	uint64_t reply_live;
--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -15,7 +15,6 @@
 static void update_units(struct node *node);
 static uint32_t count_units(const struct msg_units *units);
 static void report_units(struct node *node);
-static bool hears_quorum(struct node *node);
 static void send_heartbeat(struct node *node);
 static bool is_new_process(struct node *node, const struct msg *msg);
 static void follow_voter(struct node *node);
@@ -121,9 +120,15 @@
 {
 	uint32_t released = 0;
 
+	/*
+	 * Without a majority no unit is held, and wanting one would keep a
+	 * granter that still hears this VM from granting it to others.
+	 */
+	bool heard = node->store.current && nd_quorum(node);
+
 	node->moving = false;
 	for (uint32_t i = 0; i < CFG_UNITS; i++) {
-		bool mine = node->self >= 0 && node->owner[i] == node->self;
+		bool mine = heard && node->owner[i] == node->self;
 
 		if (mine) {
 			quo_holder_want(&node->holder, i);
@@ -184,23 +189,11 @@
 		nd_event_plain(node, EV_LEASE_LOST, lost, total);
 }
 
-/*
- * A VM that is heard but hears no majority cannot learn of its grants. It must
- * not count as ready, since its units would stay without an owner. The pause
- * covers a change of the epoch, when all members start to hear anew.
- */
-static bool hears_quorum(struct node *node)
-{
-	if (nd_quorum(node))
-		node->quorum_at = node->clock.now;
-	return node->quorum_at &&
-	       node->clock.now - node->quorum_at < node->settings.suspect_after;
-}
-
 static void send_heartbeat(struct node *node)
 {
 	struct msg msg = { .kind = MSG_HEARTBEAT };
-	bool ready = eligible(node) && hears_quorum(node);
+	/* A VM that hears no majority cannot hold units. */
+	bool ready = eligible(node) && nd_quorum(node);
 
 	quo_holder_heartbeat(&node->holder, node->clock.now,
 			     node->store.current, ready, node->stopping,
