--- a/packages/node/nd-roster.c
+++ b/packages/node/nd-roster.c
@@ -58,12 +58,19 @@
 {
 	const struct cfg *cfg = node->store.current;
 	gb_time limit = node->settings.remove_after;
+	uint32_t len = node->members.len;
 
 	if (cfg->vms->len <= ROSTER_MIN)
 		return -1;
-	if (!nd_quorum(node))
+	/*
+	 * Without a quorum only the removal of a granter helps; that of another
+	 * member would wait for the majority that is missing to be settled.
+	 */
+	if (!nd_quorum(node)) {
 		limit = MIN(limit, REMOVE_WITHOUT_QUORUM);
-	for (uint32_t i = 0; i < node->members.len; i++) {
+		len = MIN(len, cfg_granters(cfg));
+	}
+	for (uint32_t i = 0; i < len; i++) {
 		const struct quo_member *member = &node->members.member[i];
 		gb_time heard = MAX(member->heard, node->started);
 
