--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 CTL_SRC = $(wildcard packages/ctl/*.c)
 LIB_SRC = $(filter-out $(DAEMON_SRC) $(CTL_SRC),$(wildcard packages/*/*.c))
 STANDIN_SRC = $(wildcard tests/standin/*.c)
-SCENARIO_SRC = $(wildcard tests/scenario/*.c)
+FAKES_SRC = $(wildcard bench/fakes/*.c)
+SCENARIO_SRC = $(FAKES_SRC) tests/scenario/scn-main.c
 BENCH_SRC = $(wildcard bench/*.c)
 MATRIX_SRC = $(wildcard tests/matrix/*.c)
 UNIT_SRC = $(wildcard packages/*/tests/*.c)
@@ -29,7 +30,7 @@
 programs = $(sort $(foreach f,$(notdir $(1)),$(firstword $(subst -, ,$(f)))))
 STANDINS = $(addprefix $(BUILD)/,\
 	$(filter-out common,$(call programs,$(STANDIN_SRC))))
-SCENARIOS = $(if $(SCENARIO_SRC),$(BUILD)/scenario)
+SCENARIOS = $(BUILD)/scenario
 BENCHES = $(addprefix $(BUILD)/bench-,\
 	$(filter-out common,$(call programs,$(BENCH_SRC))))
 MATRIX = $(if $(MATRIX_SRC),$(BUILD)/matrix)
@@ -76,8 +77,6 @@
 $(BUILD)/packages/daemon/tests/response-test: \
 	$(call obj,packages/daemon/gd-response.c)
 
-# The scenario engine without its main function serves the benches too.
-SCENARIO_ENGINE = $(filter-out tests/scenario/scn-main.c,$(SCENARIO_SRC))
 
 define program
 $(1): $(call obj,$(filter $(2)/$(3)-% $(2)/common-%,$(4))) $(5) $(LIB)
@@ -88,9 +87,9 @@
 	$(eval $(call program,$(BUILD)/$(p),tests/standin,$(p),$(STANDIN_SRC),)))
 $(foreach p,$(filter-out common,$(call programs,$(BENCH_SRC))),\
 	$(eval $(call program,$(BUILD)/bench-$(p),bench,$(p),$(BENCH_SRC),\
-	$(call obj,$(SCENARIO_ENGINE)) $(BUILD)/tests/script/scr.o)))
+	$(call obj,$(FAKES_SRC)) $(BUILD)/tests/script/scr.o)))
 
-$(BUILD)/matrix: $(call obj,$(MATRIX_SRC) $(SCENARIO_ENGINE)) \
+$(BUILD)/matrix: $(call obj,$(MATRIX_SRC) $(FAKES_SRC)) \
 		$(BUILD)/tests/script/scr.o $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
--- a/bench/common.h
+++ b/bench/common.h
@@ -15,7 +15,7 @@
  */
 
 #include "policy/pol.h"
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
 
 /* One service of the users; service times are exponential with 5 ms. */
 struct bpl_shape {
--- a/bench/control-cell.c
+++ b/bench/control-cell.c
@@ -1,5 +1,5 @@
 #include "bench/control.h"
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
 #include "wire/wire.h"
 
 #include <stdio.h>
--- a/bench/control-load.c
+++ b/bench/control-load.c
@@ -1,6 +1,6 @@
 #include "bench/control.h"
 #include "quorum/quo.h"
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
 
 #include <stdio.h>
 
--- a/bench/fakes/scn-caller.c
+++ b/bench/fakes/scn-caller.c
@@ -1,4 +1,4 @@
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
 
 static void send_now(struct scn_world *world, struct scn_request *request,
 		     double min_coverage);
--- a/bench/fakes/scn-check.c
+++ b/bench/fakes/scn-check.c
@@ -1,4 +1,4 @@
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
 
 #include <stdarg.h>
 #include <stdio.h>
--- a/bench/fakes/scn-command.c
+++ b/bench/fakes/scn-command.c
@@ -1,6 +1,4 @@
-#include "scenario/scn.h"
-
-#include "script/scr.h"
+#include "bench/fakes/scn-command.h"
 
 #include <string.h>
 
@@ -10,11 +8,6 @@
 	struct gb_str usage;
 };
 
-static void cmd_settings(struct scn_world *world, const struct scr_args *args);
-static void cmd_dc(struct scn_world *world, const struct scr_args *args);
-static void cmd_vm(struct scn_world *world, const struct scr_args *args);
-static void cmd_service(struct scn_world *world, const struct scr_args *args);
-static void cmd_start(struct scn_world *world, const struct scr_args *args);
 static void cmd_run(struct scn_world *world, const struct scr_args *args);
 static void cmd_lookup(struct scn_world *world, const struct scr_args *args);
 static void cmd_order(struct scn_world *world, const struct scr_args *args);
@@ -33,40 +26,27 @@
 static void cmd_upstream(struct scn_world *world, const struct scr_args *args);
 static void cmd_plan(struct scn_world *world, const struct scr_args *args);
 static void cmd_confirm(struct scn_world *world, const struct scr_args *args);
-static void cmd_publish(struct scn_world *world, const struct scr_args *args);
-static void cmd_repartition(struct scn_world *world,
-			    const struct scr_args *args);
-static void cmd_vmlist(struct scn_world *world, const struct scr_args *args);
-static void cmd_show(struct scn_world *world, const struct scr_args *args);
 static void cmd_events(struct scn_world *world, const struct scr_args *args);
 static void cmd_mutate(struct scn_world *world, const struct scr_args *args);
 static uint32_t vm_arg(struct scn_world *world, const struct scr_args *args);
-static void add_replicas(struct scn_world *world, struct cfg_service *service,
-			 uint32_t index, uint64_t snapshot, uint32_t shards,
-			 uint32_t replicas);
-static void add_snapshot(struct cfg_service *service, uint64_t id,
-			 uint64_t docs);
 static void send_request(struct scn_world *world, const struct scr_args *args,
 			 bool order);
-static void show_config(struct scn_world *world);
-static void show_loads(struct scn_world *world);
-static void show_upstreams(struct scn_world *world);
-static void show_vms(struct scn_world *world);
 static void drop_intent(struct scn_world *world);
 
 static const struct command commands[] = {
-	{ GB_STR_INIT("settings"), cmd_settings,
+	{ GB_STR_INIT("settings"), scn_cmd_settings,
 	  GB_STR_INIT("[lease_ms=N] [heartbeat_ms=N] [suspect_ms=N]") },
-	{ GB_STR_INIT("dc"), cmd_dc, GB_STR_INIT("NAME") },
-	{ GB_STR_INIT("vm"), cmd_vm, GB_STR_INIT("ID dc=NAME [skew_ms=N]") },
-	{ GB_STR_INIT("service"), cmd_service,
+	{ GB_STR_INIT("dc"), scn_cmd_dc, GB_STR_INIT("NAME") },
+	{ GB_STR_INIT("vm"), scn_cmd_vm,
+	  GB_STR_INIT("ID dc=NAME [skew_ms=N]") },
+	{ GB_STR_INIT("service"), scn_cmd_service,
 	  GB_STR_INIT(
 		  "NAME [shards=N] [replicas=N] [slots=N] [queue=N] "
 		  "[backlog=N] [connections=N] [cold=N] [ramp_ms=N] [cold_ms=N] "
 		  "[mean_us=N] [slow_permille=N] [connect_us=N] "
 		  "[policy=P] [hedge=N] [canary=0|1] [crash_on=T] "
 		  "[deadline_ms=N]") },
-	{ GB_STR_INIT("start"), cmd_start, GB_STR_INIT("[vms=0|1]") },
+	{ GB_STR_INIT("start"), scn_cmd_start, GB_STR_INIT("[vms=0|1]") },
 	{ GB_STR_INIT("run"), cmd_run, GB_STR_INIT("MS") },
 	{ GB_STR_INIT("lookup"), cmd_lookup,
 	  GB_STR_INIT("ID vm=N service=S body=B [deadline_ms=N] [min=X]") },
@@ -95,13 +75,13 @@
 	{ GB_STR_INIT("plan"), cmd_plan,
 	  GB_STR_INIT("KIND TARGET vm=N [field=F value=N]") },
 	{ GB_STR_INIT("confirm"), cmd_confirm, GB_STR_INIT("vm=N") },
-	{ GB_STR_INIT("publish"), cmd_publish,
+	{ GB_STR_INIT("publish"), scn_cmd_publish,
 	  GB_STR_INIT("SERVICE id=N [docs=N]") },
-	{ GB_STR_INIT("vmlist"), cmd_vmlist,
+	{ GB_STR_INIT("vmlist"), scn_cmd_vmlist,
 	  GB_STR_INIT("HOST leaving|live (an upstream's host is its name)") },
-	{ GB_STR_INIT("repartition"), cmd_repartition,
+	{ GB_STR_INIT("repartition"), scn_cmd_repartition,
 	  GB_STR_INIT("SERVICE id=N shards=N [replicas=N] [docs=N]") },
-	{ GB_STR_INIT("show"), cmd_show,
+	{ GB_STR_INIT("show"), scn_cmd_show,
 	  GB_STR_INIT("vms|loads|upstreams|config") },
 	{ GB_STR_INIT("mutate"), cmd_mutate, GB_STR_INIT("NAME") },
 	{ GB_STR_INIT("events"), cmd_events, GB_STR_INIT("on|off") },
@@ -120,147 +100,6 @@
 	return vm->index;
 }
 
-static void cmd_settings(struct scn_world *world, const struct scr_args *args)
-{
-	struct nd_settings *s = &world->settings;
-
-	s->lease =
-		scr_int(args, GB_STR("lease_ms"), s->lease / GB_MSEC) * GB_MSEC;
-	s->heartbeat =
-		scr_int(args, GB_STR("heartbeat_ms"), s->heartbeat / GB_MSEC) *
-		GB_MSEC;
-	s->suspect_after = scr_int(args, GB_STR("suspect_ms"),
-				   s->suspect_after / GB_MSEC) *
-			   GB_MSEC;
-}
-
-static void cmd_dc(struct scn_world *world, const struct scr_args *args)
-{
-	cfg_add_dc(world->plan_cfg, scr_word(args, 0));
-}
-
-static void cmd_vm(struct scn_world *world, const struct scr_args *args)
-{
-	struct scn_vm *vm = &world->vm[world->vms];
-	int dc = cfg_find_dc(world->plan_cfg,
-			     scr_str(args, GB_STR("dc"), GB_STR("")));
-	struct cfg_vm *config;
-	struct gb_buf name = GB_BUF_INIT;
-	int64_t id;
-
-	g_assert_cmpint(gb_str_to_int(scr_word(args, 0), 1, 4095, &id), ==, 0);
-	g_assert_cmpint(dc, >=, 0);
-	vm->world = world;
-	vm->index = world->vms++;
-	vm->id = id;
-	vm->dc = dc;
-	vm->skew = scr_int(args, GB_STR("skew_ms"), 0) * GB_MSEC;
-	vm->held = g_queue_new();
-	vm->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
-	gb_buf_addf(&name, "vm-%" PRId64, id);
-	if (!scr_int(args, GB_STR("spare"), 0)) {
-		config = cfg_add_vm(world->plan_cfg, id, gb_buf_str(&name),
-				    gb_buf_str(&name));
-		config->dc = dc;
-	}
-	gb_buf_free(&name);
-}
-
-/* Spreads the replicas of each shard over the data centres. */
-static void add_replicas(struct scn_world *world, struct cfg_service *service,
-			 uint32_t index, uint64_t snapshot, uint32_t shards,
-			 uint32_t replicas)
-{
-	uint32_t dcs = world->plan_cfg->dcs->len;
-	struct gb_buf name = GB_BUF_INIT;
-
-	for (uint32_t i = 0; i < shards; i++) {
-		struct cfg_shard *shard = cfg_add_shard(service);
-
-		for (uint32_t k = 0; k < replicas; k++) {
-			struct cfg_replica *replica;
-
-			gb_buf_reset(&name);
-			gb_buf_add(&name, service->name);
-			gb_buf_addf(&name, "-%u-%u", i, k);
-			if (snapshot > 1)
-				gb_buf_addf(&name, "-s%" PRIu64, snapshot);
-			replica = cfg_add_replica(shard, gb_buf_str(&name),
-						  gb_buf_str(&name));
-			replica->dc = (i + k) % dcs;
-			scn_upstream_add(world, gb_buf_str(&name), index, i,
-					 replica->dc);
-		}
-	}
-	gb_buf_free(&name);
-}
-
-static void add_snapshot(struct cfg_service *service, uint64_t id,
-			 uint64_t docs)
-{
-	struct cfg_snapshot *snapshot = cfg_add_snapshot(service, id);
-
-	for (guint i = 0; i < service->shards->len; i++) {
-		uint64_t count = docs + i;
-
-		g_array_append_val(snapshot->docs, count);
-	}
-}
-
-static void cmd_service(struct scn_world *world, const struct scr_args *args)
-{
-	struct cfg_service *config =
-		cfg_add_service(world->plan_cfg, scr_word(args, 0));
-	struct scn_service *service = g_new0(struct scn_service, 1);
-	struct cfg_limits *limits = &config->limits;
-	uint32_t index = world->services->len;
-
-	limits->slots = scr_int(args, GB_STR("slots"), 2);
-	limits->queue = scr_int(args, GB_STR("queue"), 1);
-	limits->connections = scr_int(args, GB_STR("connections"), 25);
-	limits->cold_slots = scr_int(args, GB_STR("cold"), 1);
-	limits->ramp = scr_int(args, GB_STR("ramp_ms"), 2000) * GB_MSEC;
-	config->hedge_permille = scr_int(args, GB_STR("hedge"), 30);
-	config->canary = scr_int(args, GB_STR("canary"), 1);
-	config->priority = scr_int(args, GB_STR("priority"), 0);
-	config->deadline = scr_int(args, GB_STR("deadline_ms"), 200) * GB_MSEC;
-	cfg_set_policy(config,
-		       scr_str(args, GB_STR("policy"), GB_STR("latency")));
-	service->name = gb_str_dup(scr_word(args, 0));
-	service->mean = scr_int(args, GB_STR("mean_us"), 5000);
-	service->slow_permille = scr_int(args, GB_STR("slow_permille"), 0);
-	service->slow_factor = scr_int(args, GB_STR("slow_factor"), 10);
-	service->connect = scr_int(args, GB_STR("connect_us"), 6000);
-	service->cold_time = scr_int(args, GB_STR("cold_ms"), 2000) * GB_MSEC;
-	service->fragile = scr_int(args, GB_STR("fragile"), 0);
-	service->crash_on =
-		gb_str_dup(scr_str(args, GB_STR("crash_on"), GB_STR("")));
-	service->backlog = scr_int(args, GB_STR("backlog"), limits->queue);
-	service->limits = *limits;
-	g_ptr_array_add(world->services, service);
-	add_replicas(world, config, index, 1,
-		     scr_int(args, GB_STR("shards"), 4),
-		     scr_int(args, GB_STR("replicas"), 2));
-	add_snapshot(config, 1, scr_int(args, GB_STR("docs"), 100));
-}
-
-static void cmd_start(struct scn_world *world, const struct scr_args *args)
-{
-	struct gb_error err;
-	struct cfg *cfg = cfg_copy(world->plan_cfg);
-
-	if (cfg_check(cfg, &err))
-		g_error("configuration: %.*s", (int)gb_code_name(err.code).len,
-			gb_code_name(err.code).ptr);
-	cfg->version = 1;
-	scn_platform_put(world, cfg);
-	cfg_unref(cfg);
-	for (uint32_t i = 0; i < world->vms; i++)
-		if (scr_int(args, GB_STR("vms"), 1) &&
-		    cfg_find_vm(world->plan_cfg, world->vm[i].id) >= 0)
-			scn_vm_start(world, i);
-}
-
 static void cmd_run(struct scn_world *world, const struct scr_args *args)
 {
 	int64_t ms;
@@ -494,142 +333,6 @@
 	scn_vm_reschedule(vm);
 }
 
-/* The indexer of the platform publishes a new snapshot. */
-static void cmd_publish(struct scn_world *world, const struct scr_args *args)
-{
-	struct cfg *cfg = cfg_copy(world->platform.object);
-	int service = cfg_find_service(cfg, scr_word(args, 0));
-
-	g_assert_cmpint(service, >=, 0);
-	add_snapshot(&g_array_index(cfg->services, struct cfg_service, service),
-		     scr_int(args, GB_STR("id"), 2),
-		     scr_int(args, GB_STR("docs"), 200));
-	cfg->version++;
-	scn_platform_put(world, cfg);
-	cfg_unref(cfg);
-}
-
-static void cmd_vmlist(struct scn_world *world, const struct scr_args *args)
-{
-	scn_platform_set_leaving(
-		world, scr_word(args, 0),
-		gb_str_eq(scr_word(args, 1), GB_STR("leaving")));
-}
-
-/*
- * The index of a service is split into other shards: the old upstreams have
- * no newer snapshot and the new ones no older one.
- */
-static void cmd_repartition(struct scn_world *world,
-			    const struct scr_args *args)
-{
-	struct cfg *cfg = cfg_copy(world->platform.object);
-	int index = cfg_find_service(cfg, scr_word(args, 0));
-	uint64_t id = scr_int(args, GB_STR("id"), 2);
-	struct cfg_service *service;
-	guint old = world->upstreams->len;
-
-	g_assert_cmpint(index, >=, 0);
-	service = &g_array_index(cfg->services, struct cfg_service, index);
-	for (guint i = 0; i < old; i++) {
-		struct scn_upstream *u = g_ptr_array_index(world->upstreams, i);
-
-		if (u->service == (uint32_t)index)
-			u->snapshot_min = UINT64_MAX;
-	}
-	g_array_set_size(service->shards, 0);
-	g_array_set_size(service->snapshots, 0);
-	add_replicas(world, service, index, id,
-		     scr_int(args, GB_STR("shards"), 4),
-		     scr_int(args, GB_STR("replicas"), 2));
-	for (guint i = old; i < world->upstreams->len; i++) {
-		struct scn_upstream *u = g_ptr_array_index(world->upstreams, i);
-
-		u->snapshot_min = id;
-	}
-	add_snapshot(service, id, scr_int(args, GB_STR("docs"), 200));
-	cfg->version++;
-	scn_platform_put(world, cfg);
-	cfg_unref(cfg);
-}
-
-static void show_config(struct scn_world *world)
-{
-	const struct cfg *cfg = world->platform.object;
-
-	scn_line(world, "config version=%" PRIu64 " epoch=%" PRIu64 " vms=%u",
-		 cfg->version, cfg->epoch, cfg->vms->len);
-	for (guint i = 0; i < cfg->dcs->len; i++)
-		scn_line(world, "dc %.*s out=%d", (int)cfg_dc(cfg, i)->name.len,
-			 cfg_dc(cfg, i)->name.ptr, cfg_dc(cfg, i)->out);
-}
-
-static void show_loads(struct scn_world *world)
-{
-	for (guint i = 0; i < world->loads->len; i++) {
-		struct scn_load *load = g_ptr_array_index(world->loads, i);
-		struct scn_tally *t = &load->tally;
-
-		scn_line(world,
-			 "load %u sent=%" PRIu64 " complete=%" PRIu64
-			 " partial=%" PRIu64 " refused=%" PRIu64
-			 " late=%" PRIu64 " unknown=%" PRIu64 " lost=%" PRIu64
-			 " p50=%.1f p99=%.1f",
-			 i, t->sent, t->complete, t->partial, t->refused,
-			 t->late, t->unknown, t->lost,
-			 (double)scn_tally_quantile(t, 0.5) / GB_MSEC,
-			 (double)scn_tally_quantile(t, 0.99) / GB_MSEC);
-	}
-}
-
-static void show_upstreams(struct scn_world *world)
-{
-	for (guint i = 0; i < world->upstreams->len; i++) {
-		const struct scn_upstream *u =
-			g_ptr_array_index(world->upstreams, i);
-
-		scn_line(world,
-			 "upstream %.*s received=%" PRIu64 " shed=%" PRIu64
-			 " peak=%u connections=%u instance=%" PRIu64,
-			 (int)u->name.len, u->name.ptr, u->received, u->shed,
-			 u->peak_load, u->peak_connections, u->instance);
-	}
-}
-
-static void show_vms(struct scn_world *world)
-{
-	for (uint32_t i = 0; i < world->vms; i++) {
-		struct scn_vm *vm = &world->vm[i];
-		struct nd_status status;
-
-		if (!vm->node) {
-			scn_line(world, "vm %u down", vm->id);
-			continue;
-		}
-		nd_status(vm->node, scn_vm_clock(vm), &status);
-		scn_line(world,
-			 "vm %u ready=%d version=%" PRIu64 " epoch=%" PRIu64
-			 " units=%u queries=%u calls=%u",
-			 vm->id, status.ready, status.config_version,
-			 status.epoch, status.units_held,
-			 status.queries_running, status.calls_running);
-	}
-}
-
-static void cmd_show(struct scn_world *world, const struct scr_args *args)
-{
-	struct gb_str what = scr_word(args, 0);
-
-	if (gb_str_eq(what, GB_STR("vms")))
-		show_vms(world);
-	else if (gb_str_eq(what, GB_STR("loads")))
-		show_loads(world);
-	else if (gb_str_eq(what, GB_STR("upstreams")))
-		show_upstreams(world);
-	else
-		show_config(world);
-}
-
 /* Plants a fault that a check must report. */
 static void cmd_mutate(struct scn_world *world, const struct scr_args *args)
 {
@@ -648,15 +351,10 @@
 /* Runs one line of a scenario. */
 void scn_command(struct scn_world *world, struct gb_str line)
 {
-	struct scr_args args = { .len = 0 };
-	struct gb_str name, word;
-
-	gb_str_cut(&line, ' ', &name);
-	while (line.len) {
-		gb_str_cut(&line, ' ', &word);
-		if (word.len && args.len < SCR_ARGS_MAX)
-			args.word[args.len++] = word;
-	}
+	struct scr_args args;
+	struct gb_str name;
+
+	scr_split(line, &name, &args);
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
 		if (!gb_str_eq(commands[i].name, name))
 			continue;
@@ -671,13 +369,8 @@
 {
 	struct gb_str line;
 
-	while (text.len) {
-		gb_str_cut(&text, '\n', &line);
-		line = gb_str_trim(line);
-		if (!line.len || line.ptr[0] == '#')
-			continue;
+	while (scr_next_line(&text, &line))
 		scn_command(world, line);
-	}
 	scn_run(world, 3 * GB_SEC);
 	scn_checks_end(world);
 	scn_line(world, "violations=%u", world->violations);
--- a/bench/fakes/scn-mutate.c
+++ b/bench/fakes/scn-mutate.c
@@ -1,4 +1,4 @@
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
 
 /* The VM that a mutation of one VM is about. */
 #define VICTIM 3
--- a/bench/fakes/scn-platform.c
+++ b/bench/fakes/scn-platform.c
@@ -1,4 +1,4 @@
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
 
 /* Time of one call to the platform when it is well. */
 #define PLATFORM_TIME (3 * GB_MSEC)
--- a/bench/fakes/scn-queue.c
+++ b/bench/fakes/scn-queue.c
@@ -1,4 +1,4 @@
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
 
 static bool before(const struct scn_entry *a, const struct scn_entry *b);
 
--- a/tests/matrix/mtx.h
+++ b/tests/matrix/mtx.h
@@ -14,7 +14,7 @@
  *	check of a promise may have found a violation.
  */
 
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
 
 #define MTX_FAULTS 2
 
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -9,7 +9,7 @@
 : "${build:?the folder of the programs}"
 
 # The fleet: daemon i runs in data centre vm_dcs[i].
-records=${records:-tests/records.txt}
+records=${records:-share/records.txt}
 shards=8
 copies=2
 dcs=(dc-a dc-b dc-c)
--- a/tests/scenario/scn-main.c
+++ b/tests/scenario/scn-main.c
@@ -1,4 +1,6 @@
-#include "scenario/scn.h"
+#include "bench/fakes/scn.h"
+
+#include "script/scr.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,33 +24,9 @@
 /* The run must end with a violation. */
 static bool mutants;
 
-static void compare(const char *file, struct gb_str got, struct gb_str want);
 static struct scn_world *run_file(const char *file, uint64_t seed, int *status);
 static void test_case(gconstpointer data);
 static int run_cases(int argc, char **argv, const char *folder);
-static gint by_name(gconstpointer a, gconstpointer b);
-
-/* Fails the test with the first line that differs and how to replay it. */
-static void compare(const char *file, struct gb_str got, struct gb_str want)
-{
-	struct gb_str a, b;
-	int number = 0;
-
-	while (got.len || want.len) {
-		number++;
-		gb_str_cut(&got, '\n', &a);
-		gb_str_cut(&want, '\n', &b);
-		if (gb_str_eq(a, b))
-			continue;
-		g_test_message("%s: line %d differs with seed %d\n"
-			       "  got:  %.*s\n  want: %.*s\n"
-			       "  replay: build/scenario --seed %d %s",
-			       file, number, SEED, (int)a.len, a.ptr,
-			       (int)b.len, b.ptr, SEED, file);
-		g_test_fail();
-		return;
-	}
-}
 
 /* Runs a scenario; NULL if the file cannot be read. */
 static struct scn_world *run_file(const char *file, uint64_t seed, int *status)
@@ -68,53 +46,31 @@
 static void test_case(gconstpointer data)
 {
 	const char *file = data;
-	char *expected = g_strndup(file, strlen(file) - strlen("scenario"));
-	char *path = g_strconcat(expected, "expected", NULL);
-	gchar *want = NULL;
-	gsize len = 0;
+	char *base = g_strndup(file, strlen(file) - strlen("scenario"));
+	char *path = g_strconcat(base, "expected", NULL);
+	char *hint = g_strdup_printf("\n  replay: build/scenario --seed %d %s",
+				     SEED, file);
 	int status;
 	struct scn_world *world = run_file(file, SEED, &status);
 
 	g_assert_nonnull(world);
-	if (g_getenv("SCR_UPDATE"))
-		g_assert_true(g_file_set_contents(path, world->trace.ptr,
-						  world->trace.len, NULL));
-	else if (g_file_get_contents(path, &want, &len, NULL))
-		compare(file, gb_buf_str(&world->trace),
-			(struct gb_str){ .ptr = want, .len = len });
-	else
-		compare(file, gb_buf_str(&world->trace), GB_STR(""));
+	scr_settle(path, gb_buf_str(&world->trace), hint);
 	g_assert_cmpint(status, ==, mutants ? -1 : 0);
 	scn_free(world);
-	g_free(want);
+	g_free(hint);
 	g_free(path);
-	g_free(expected);
-}
-
-static gint by_name(gconstpointer a, gconstpointer b)
-{
-	return strcmp(*(char *const *)a, *(char *const *)b);
+	g_free(base);
 }
 
 static int run_cases(int argc, char **argv, const char *folder)
 {
 	GPtrArray *files;
-	GDir *dir = g_dir_open(folder, 0, NULL);
-	const char *name;
 	int status;
 
-	if (!dir)
-		return 2;
-	files = g_ptr_array_new_with_free_func(g_free);
 	g_test_init(&argc, &argv, NULL);
-	while ((name = g_dir_read_name(dir)))
-		if (g_str_has_suffix(name, ".scenario"))
-			g_ptr_array_add(files,
-					g_build_filename(folder, name, NULL));
-	g_dir_close(dir);
-	g_ptr_array_sort(files, by_name);
+	files = scr_files(folder, ".scenario");
 	for (guint i = 0; i < files->len; i++) {
-		const char *file = g_ptr_array_index(files, i);
+		const char *file = files->pdata[i];
 		char *base = g_path_get_basename(file);
 		char *path = g_strconcat("/scenario/", base, NULL);
 
--- a/tests/script/scr.c
+++ b/tests/script/scr.c
@@ -15,7 +15,8 @@
 		     struct gb_str line, struct gb_buf *out);
 static void run_script(const struct scr_suite *suite, struct gb_str text,
 		       struct gb_buf *out);
-static void compare(const char *path, struct gb_str got, struct gb_str want);
+static void compare(const char *path, struct gb_str got, struct gb_str want,
+		    const char *hint);
 static void test_script(gconstpointer data);
 static void free_script(gpointer data);
 static gint by_name(gconstpointer a, gconstpointer b);
@@ -77,20 +78,13 @@
 static void run_line(const struct scr_suite *suite, void *ctx,
 		     struct gb_str line, struct gb_buf *out)
 {
-	struct scr_args args = { .len = 0 };
-	struct gb_str name, word;
+	struct scr_args args;
+	struct gb_str name;
 
 	gb_buf_add(out, GB_STR("> "));
 	gb_buf_add(out, line);
 	gb_buf_addc(out, '\n');
-	gb_str_cut(&line, ' ', &name);
-	while (line.len) {
-		gb_str_cut(&line, ' ', &word);
-		if (!word.len)
-			continue;
-		g_assert_cmpuint(args.len, <, SCR_ARGS_MAX);
-		args.word[args.len++] = word;
-	}
+	scr_split(line, &name, &args);
 	for (size_t i = 0; i < suite->commands_len; i++) {
 		if (!gb_str_eq(suite->commands[i].name, name))
 			continue;
@@ -107,18 +101,40 @@
 	void *ctx = suite->open();
 	struct gb_str line;
 
-	while (text.len) {
-		gb_str_cut(&text, '\n', &line);
-		line = gb_str_trim(line);
-		if (!line.len || line.ptr[0] == '#')
-			continue;
+	while (scr_next_line(&text, &line))
 		run_line(suite, ctx, line, out);
-	}
 	suite->close(ctx);
 }
 
+bool scr_next_line(struct gb_str *text, struct gb_str *line)
+{
+	while (text->len) {
+		gb_str_cut(text, '\n', line);
+		*line = gb_str_trim(*line);
+		if (line->len && line->ptr[0] != '#')
+			return true;
+	}
+	return false;
+}
+
+void scr_split(struct gb_str line, struct gb_str *name, struct scr_args *args)
+{
+	struct gb_str word;
+
+	args->len = 0;
+	gb_str_cut(&line, ' ', name);
+	while (line.len) {
+		gb_str_cut(&line, ' ', &word);
+		if (!word.len)
+			continue;
+		g_assert_cmpuint(args->len, <, SCR_ARGS_MAX);
+		args->word[args->len++] = word;
+	}
+}
+
 /* Fails with the first line that differs. */
-static void compare(const char *path, struct gb_str got, struct gb_str want)
+static void compare(const char *path, struct gb_str got, struct gb_str want,
+		    const char *hint)
 {
 	struct gb_str a, b;
 	int number = 0;
@@ -129,31 +145,60 @@
 		gb_str_cut(&want, '\n', &b);
 		if (gb_str_eq(a, b))
 			continue;
-		g_test_message("%s.expected:%d: got \"%.*s\", want \"%.*s\"",
-			       path, number, (int)a.len, a.ptr, (int)b.len,
-			       b.ptr);
+		g_test_message("%s:%d: got \"%.*s\", want \"%.*s\"%s", path,
+			       number, (int)a.len, a.ptr, (int)b.len, b.ptr,
+			       hint);
 		g_test_fail();
 		return;
 	}
 }
 
+void scr_settle(const char *path, struct gb_str got, const char *hint)
+{
+	struct gb_str want;
+
+	if (g_getenv("SCR_UPDATE")) {
+		g_assert_true(
+			g_file_set_contents(path, got.ptr, got.len, NULL));
+		return;
+	}
+	want = read_file(path);
+	compare(path, got, want, hint);
+	gb_str_free(&want);
+}
+
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+GPtrArray *scr_files(const char *folder, const char *suffix)
+{
+	GPtrArray *files = g_ptr_array_new_with_free_func(g_free);
+	GDir *dir = g_dir_open(folder, 0, NULL);
+	const char *name;
+
+	g_assert_nonnull(dir);
+	while ((name = g_dir_read_name(dir)))
+		if (g_str_has_suffix(name, suffix))
+			g_ptr_array_add(files,
+					g_build_filename(folder, name, NULL));
+	g_dir_close(dir);
+	g_ptr_array_sort(files, by_name);
+	return files;
+}
+
 static void test_script(gconstpointer data)
 {
 	const struct script *script = data;
 	char *input = g_strconcat(script->path, ".script", NULL);
 	char *output = g_strconcat(script->path, ".expected", NULL);
 	struct gb_str text = read_file(input);
-	struct gb_str want = read_file(output);
 	struct gb_buf got = GB_BUF_INIT;
 
 	run_script(script->suite, text, &got);
-	if (g_getenv("SCR_UPDATE"))
-		g_assert_true(
-			g_file_set_contents(output, got.ptr, got.len, NULL));
-	else
-		compare(script->path, gb_buf_str(&got), want);
+	scr_settle(output, gb_buf_str(&got), "");
 	gb_buf_free(&got);
-	gb_str_free(&want);
 	gb_str_free(&text);
 	g_free(output);
 	g_free(input);
@@ -167,43 +212,32 @@
 	g_free(script);
 }
 
-static gint by_name(gconstpointer a, gconstpointer b)
-{
-	return strcmp(*(char *const *)a, *(char *const *)b);
-}
-
 int scr_main(int argc, char **argv, const struct scr_suite *suite)
 {
-	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *scripts = g_ptr_array_new_with_free_func(free_script);
-	GDir *dir;
-	const char *name;
+	GPtrArray *files;
 	int status;
 
 	g_test_init(&argc, &argv, NULL);
-	dir = g_dir_open(suite->folder, 0, NULL);
-	g_assert_nonnull(dir);
-	while ((name = g_dir_read_name(dir)))
-		if (g_str_has_suffix(name, ".script"))
-			g_ptr_array_add(names,
-					g_strndup(name, strlen(name) - 7));
-	g_dir_close(dir);
-	g_ptr_array_sort(names, by_name);
-	for (guint i = 0; i < names->len; i++) {
+	files = scr_files(suite->folder, ".script");
+	for (guint i = 0; i < files->len; i++) {
+		const char *file = files->pdata[i];
 		struct script *script = g_new0(struct script, 1);
-		char *path;
+		char *base, *path;
 
-		name = g_ptr_array_index(names, i);
-		path = g_strdup_printf("/%s/%s", suite->name, name);
 		script->suite = suite;
-		script->path = g_build_filename(suite->folder, name, NULL);
+		script->path =
+			g_strndup(file, strlen(file) - strlen(".script"));
+		base = g_path_get_basename(script->path);
+		path = g_strdup_printf("/%s/%s", suite->name, base);
 		g_ptr_array_add(scripts, script);
 		g_test_add_data_func(path, script, test_script);
 		g_free(path);
+		g_free(base);
 	}
 	g_assert_cmpuint(scripts->len, >, 0);
 	status = g_test_run();
 	g_ptr_array_free(scripts, TRUE);
-	g_ptr_array_free(names, TRUE);
+	g_ptr_array_free(files, TRUE);
 	return status;
 }
--- a/tests/script/scr.h
+++ b/tests/script/scr.h
@@ -19,6 +19,8 @@
 
 #include "base/gb.h"
 
+#include <glib.h>
+
 #define SCR_ARGS_MAX 24
 
 struct scr_args {
@@ -49,6 +51,21 @@
 /* The plain word at an index; empty when there is none. */
 struct gb_str scr_word(const struct scr_args *args, size_t index);
 
+/* Takes the next line that is neither blank nor a comment. */
+bool scr_next_line(struct gb_str *text, struct gb_str *line);
+
+/* Splits a line into its command and arguments. */
+void scr_split(struct gb_str line, struct gb_str *name, struct scr_args *args);
+
+/* Sorted paths of the files with a suffix; free with g_ptr_array_free(). */
+GPtrArray *scr_files(const char *folder, const char *suffix);
+
+/*
+ * Compares output with a file and fails the test with the first line that
+ * differs and the hint; or writes the file, with SCR_UPDATE=1.
+ */
+void scr_settle(const char *path, struct gb_str got, const char *hint);
+
 /* Runs all scripts of the suite under g_test; returns the exit status. */
 int scr_main(int argc, char **argv, const struct scr_suite *suite);
 
