--- /dev/null
+++ b/bench/common-fault.c
@@ -0,0 +1,52 @@
+#include "bench/common.h"
+
+/* How long a data centre stays out. */
+#define OUT_TIME (8 * GB_SEC)
+
+static void bring_back(struct scn_world *world, void *data);
+
+void bpl_lose_replica(struct scn_world *world)
+{
+	scn_command(world, GB_STR("upstream bench-assist-3-1 die"));
+}
+
+/* The baselines know of no plan: for them the data centre just goes on. */
+void bpl_take_out(struct scn_world *world)
+{
+	if (world->take_request)
+		return;
+	scn_command(world, GB_STR("plan dc-out dc-a vm=2"));
+	scn_command(world, GB_STR("confirm vm=2"));
+}
+
+static void bring_back(struct scn_world *world, void *data)
+{
+	(void)data;
+	scn_command(world, GB_STR("plan dc-back dc-a vm=2"));
+	scn_command(world, GB_STR("confirm vm=2"));
+}
+
+void bpl_out_and_back(struct scn_world *world)
+{
+	if (world->take_request)
+		return;
+	bpl_take_out(world);
+	scn_after(world, OUT_TIME, bring_back, NULL);
+}
+
+void bpl_restart_dc(struct scn_world *world)
+{
+	for (guint i = 0; i < world->upstreams->len; i++) {
+		struct scn_upstream *upstream =
+			g_ptr_array_index(world->upstreams, i);
+
+		if (upstream->dc == 0)
+			scn_upstream_restart(world, upstream, 500 * GB_MSEC);
+	}
+}
+
+void bpl_kill_vm(struct scn_world *world)
+{
+	if (!world->take_request)
+		scn_command(world, GB_STR("kill 1"));
+}
--- a/bench/common.h
+++ b/bench/common.h
@@ -92,6 +92,13 @@
 			const struct bpl_policy *policy);
 void bpl_baseline_free(struct scn_world *world);
 
+/* Faults for the start of a measured time. */
+void bpl_lose_replica(struct scn_world *world);
+void bpl_take_out(struct scn_world *world); /* a data centre, by a plan */
+void bpl_out_and_back(struct scn_world *world);
+void bpl_restart_dc(struct scn_world *world); /* without warning */
+void bpl_kill_vm(struct scn_world *world);
+
 const struct bpl_shape *bpl_shape(const struct bpl_run *run);
 
 /* Whole queries per second that keep all slots of the shape busy. */
--- a/packages/node/nd-plan.c
+++ b/packages/node/nd-plan.c
@@ -6,6 +6,7 @@
 
 static void respond(struct node *node, uint64_t caller, enum gb_code code,
 		    uint64_t version, const struct pln_plan *plan);
+static struct gb_str dc_of(const struct pln_intent *intent);
 static bool changes_roster(enum pln_kind kind);
 static void write_next(struct node *node, struct nd_confirm *confirm);
 static void read_back(struct node *node, struct nd_confirm *confirm);
@@ -37,6 +38,15 @@
 	node->ops->admin_answer(node->ctx, &result);
 }
 
+/* The data centre that an intent concerns; empty if it is about others. */
+static struct gb_str dc_of(const struct pln_intent *intent)
+{
+	if (intent->kind == PLN_DC_CREATE || intent->kind == PLN_DC_OUT ||
+	    intent->kind == PLN_DC_BACK)
+		return intent->target;
+	return GB_STR("");
+}
+
 void nd_plan(struct node *node, struct nd_clock clock, uint64_t caller,
 	     const struct pln_intent *intent)
 {
@@ -50,7 +60,7 @@
 		respond(node, caller, err.code, 0, NULL);
 		goto out;
 	}
-	nd_event(node, EV_PLAN_MADE, GB_STR(""), GB_STR(""), intent->target,
+	nd_event(node, EV_PLAN_MADE, GB_STR(""), GB_STR(""), dc_of(intent),
 		 (int64_t)plan->id, plan->base_version);
 	respond(node, caller, GB_OK, plan->base_version, plan);
 	pln_free(plan);
