--- a/packages/daemon/gd-platform.c
+++ b/packages/daemon/gd-platform.c
@@ -77,6 +77,11 @@
 	call->version = version;
 	if (cfg)
 		js_config_encode(cfg, &call->body);
+	if (call->body.len > CFG_OBJECT_MAX) {
+		call->result.status = ND_STORE_TOO_LARGE;
+		gd_defer(gd, store_deliver, call);
+		return;
+	}
 	endpoint = gd_endpoint(gd, settings->platform_host,
 			       settings->platform_port, CONNECTIONS_MAX);
 	if (!endpoint) {
--- a/packages/node/nd-plan.c
+++ b/packages/node/nd-plan.c
@@ -141,12 +141,23 @@
 static void finish(struct node *node, struct nd_confirm *confirm,
 		   enum gb_code code, uint64_t version)
 {
-	enum ev_code event = code == GB_OK ? EV_PLAN_CONFIRMED
-			     : code == GB_ERR_CONFLICT
-				     ? EV_PLAN_CONFLICT
-				     : EV_CONFIG_WRITE_UNKNOWN;
-
-	nd_event_plain(node, event, (int64_t)confirm->plan, version);
+	switch (code) {
+	case GB_OK:
+		nd_event_plain(node, EV_PLAN_CONFIRMED, (int64_t)confirm->plan,
+			       version);
+		break;
+	case GB_ERR_CONFLICT:
+		nd_event_plain(node, EV_PLAN_CONFLICT, (int64_t)confirm->plan,
+			       version);
+		break;
+	case GB_ERR_TOO_LARGE:
+		nd_event_plain(node, EV_CONFIG_REFUSED, version, code);
+		break;
+	default:
+		nd_event_plain(node, EV_CONFIG_WRITE_UNKNOWN,
+			       (int64_t)confirm->plan, version);
+		break;
+	}
 	respond(node, confirm->caller, code, version, NULL);
 	g_ptr_array_remove(node->confirms, confirm);
 }
@@ -156,6 +167,10 @@
 {
 	struct cfg *next;
 
+	if (result->status == ND_STORE_TOO_LARGE) {
+		finish(node, confirm, GB_ERR_TOO_LARGE, confirm->base_version);
+		return;
+	}
 	if (result->status != ND_STORE_OK) {
 		if (result->status == ND_STORE_CONFLICT)
 			nd_event_plain(node, EV_CONFIG_CONFLICT,
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -129,6 +129,7 @@
 	ND_STORE_OK,
 	ND_STORE_CONFLICT, /* certain: not written */
 	ND_STORE_NOT_FOUND,
+	ND_STORE_TOO_LARGE, /* certain: not written; past CFG_OBJECT_MAX */
 	ND_STORE_UNKNOWN, /* a write may have taken effect */
 	ND_STORE_DOWN
 };
