--- a/packages/ctl/ctl.h
+++ b/packages/ctl/ctl.h
@@ -96,6 +96,13 @@
 
 int ctl_fail(struct gb_str subject, const struct gb_error *err);
 
+/* Appends what the answer of one server shows. */
+typedef void (*ctl_show)(const struct ctl_line *line,
+			 const struct ctl_call *call, struct gb_buf *text);
+
+/* Gets a path from each server and prints the answers; an exit status. */
+int ctl_each(const struct ctl_line *line, struct gb_str path, ctl_show show);
+
 /* Appends "HOST:PORT". */
 void ctl_server_text(const struct ctl_server *server, struct gb_buf *out);
 
