Remove code without a caller and parameters that nothing reads

Change: the unused functions and parameters are gone, patience is a value of the policy's row, and gd_event() calls gd_event_take(). No behaviour changes.

--- a/bench/fakes/scn-caller.c
+++ b/bench/fakes/scn-caller.c
@@ -227,7 +227,7 @@
 		struct scn_vm *candidate = &world->vm[vm];
 
 		if (candidate->node && !candidate->frozen &&
-		    nd_ready(candidate->node, scn_vm_clock(candidate)))
+		    nd_ready(candidate->node))
 			break;
 		vm = (vm + 1) % world->vms;
 	}
--- a/bench/variants-load.c
+++ b/bench/variants-load.c
@@ -13,7 +13,6 @@
 static gb_time quantile_95(const struct pol_view *view);
 static gb_time quantile_99(const struct pol_view *view);
 static bool retry_once(const struct pol_view *view, enum pol_failure failure);
-static double patience(double coverage);
 static void no_admission(struct scn_world *world);
 static void no_ramp(struct scn_world *world);
 static void no_canary(struct scn_world *world);
@@ -28,7 +27,7 @@
 #define HEDGE(function)                                                    \
 	{                                                                  \
 		.name = GB_STR_INIT(#function), .hedge_delay = (function), \
-		.retry = retry_once, .patience = patience                  \
+		.retry = retry_once, .patience = 0.9                       \
 	}
 
 static const struct pol_ops hedges[] = {
@@ -88,12 +87,6 @@
 	       (failure == POL_SNAPSHOT_GONE || view->attempts < 2);
 }
 
-static double patience(double coverage)
-{
-	(void)coverage;
-	return 0.9;
-}
-
 static void measure_all(const struct bpl_run *runs, size_t runs_len,
 			const struct bpl_policy *policies, size_t policies_len,
 			uint64_t seeds)
--- a/packages/daemon/gd-admin.c
+++ b/packages/daemon/gd-admin.c
@@ -51,7 +51,7 @@
 static void run_ready(struct gd *gd, h2o_req_t *req,
 		      struct gb_str rest __attribute__((unused)))
 {
-	bool ready = gd->phase == GD_RUNNING && nd_ready(gd->node, gd_clock());
+	bool ready = gd->phase == GD_RUNNING && nd_ready(gd->node);
 
 	gd_http_reply(gd, req, ready ? 200 : 503, GB_STR("application/json"),
 		      ready ? GB_STR("{\"ready\":true}")
--- a/packages/daemon/gd-log.c
+++ b/packages/daemon/gd-log.c
@@ -80,11 +80,6 @@
 	}
 }
 
-void gd_log_free(struct gd_log *log)
-{
-	gb_buf_free(&log->buf);
-}
-
 void gd_event_take(struct gd *gd, const struct ev_event *event)
 {
 	ev_ring_add(gd->ring, event);
@@ -105,6 +100,5 @@
 		.b = b,
 	};
 
-	ev_ring_add(gd->ring, &event);
-	gd_log_event(&gd->log, &event);
+	gd_event_take(gd, &event);
 }
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -116,7 +116,6 @@
 
 /* Writes what standard error takes without blocking. */
 void gd_log_flush(struct gd_log *log);
-void gd_log_free(struct gd_log *log);
 
 /* Keeps and prints an event of the node, or one of the daemon itself. */
 void gd_event_take(struct gd *gd, const struct ev_event *event);
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -68,20 +68,6 @@
 			  .drop = drop_leaving },
 };
 
-static const struct gb_str statuses[MSG_STATUSES] = {
-	[MSG_STATUS_OK] = GB_STR_INIT("ok"),
-	[MSG_STATUS_NOT_RUN] = GB_STR_INIT("not_run"),
-	[MSG_STATUS_NOT_OWNER] = GB_STR_INIT("not_owner"),
-	[MSG_STATUS_MOVED] = GB_STR_INIT("moved"),
-	[MSG_STATUS_OVERLOAD] = GB_STR_INIT("overload"),
-	[MSG_STATUS_UNAVAILABLE] = GB_STR_INIT("unavailable"),
-	[MSG_STATUS_UNKNOWN] = GB_STR_INIT("unknown"),
-	[MSG_STATUS_DEADLINE] = GB_STR_INIT("deadline"),
-	[MSG_STATUS_SNAPSHOT_GONE] = GB_STR_INIT("snapshot_gone"),
-	[MSG_STATUS_QUARANTINED] = GB_STR_INIT("quarantined"),
-	[MSG_STATUS_FAILED] = GB_STR_INIT("failed"),
-};
-
 static void own_batch(struct msg *msg)
 {
 	struct msg_batch *batch = &msg->batch;
@@ -241,8 +227,3 @@
 {
 	return kind < MSG_KINDS ? kinds[kind].name : GB_STR("unknown");
 }
-
-struct gb_str msg_status_name(enum msg_status status)
-{
-	return status < MSG_STATUSES ? statuses[status] : GB_STR("unknown");
-}
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -235,7 +235,6 @@
 void msg_free(struct msg *msg);
 
 struct gb_str msg_kind_name(enum msg_kind kind);
-struct gb_str msg_status_name(enum msg_status status);
 
 static inline bool msg_units_has(const struct msg_units *units, uint32_t unit)
 {
--- a/packages/node/nd-node.c
+++ b/packages/node/nd-node.c
@@ -157,7 +157,7 @@
 	nd_order_tick(node);
 	nd_plan_tick(node);
 	nd_roster_tick(node);
-	ready = nd_ready(node, clock);
+	ready = nd_ready(node);
 	if (ready != node->was_ready)
 		nd_event_plain(node, ready ? EV_READY : EV_UNREADY, 0, 0);
 	node->was_ready = ready;
@@ -249,11 +249,10 @@
 	return true;
 }
 
-bool nd_ready(const struct node *node, struct nd_clock clock)
+bool nd_ready(const struct node *node)
 {
 	const struct cfg *cfg = node->store.current;
 
-	(void)clock;
 	if (!cfg || node->stopping || node->self < 0)
 		return false;
 	if (cfg_dc(cfg, cfg_vm(cfg, node->self)->dc)->out)
@@ -269,7 +268,7 @@
 		.incarnation = node->settings.incarnation,
 		.config_version = cfg_store_version(&node->store),
 		.epoch = node->store.current ? node->store.current->epoch : 0,
-		.ready = nd_ready(node, clock),
+		.ready = nd_ready(node),
 		.stopping = node->stopping,
 		.queries_running = g_hash_table_size(node->queries),
 		.calls_running = g_hash_table_size(node->calls),
--- a/packages/node/nd.h
+++ b/packages/node/nd.h
@@ -231,7 +231,7 @@
 bool nd_stopped(const struct node *node);
 
 /* Tells whether the platform's balancer may send callers here. */
-bool nd_ready(const struct node *node, struct nd_clock clock);
+bool nd_ready(const struct node *node);
 
 /* A summary for operators. Arrays are by roster index. */
 struct nd_status {
--- a/packages/policy/pol.c
+++ b/packages/policy/pol.c
@@ -15,24 +15,22 @@
 static gb_time latency_hedge_delay(const struct pol_view *view);
 static bool latency_retry(const struct pol_view *view,
 			  enum pol_failure failure);
-static double latency_patience(double coverage);
 static gb_time coverage_hedge_delay(const struct pol_view *view);
 static bool coverage_retry(const struct pol_view *view,
 			   enum pol_failure failure);
-static double coverage_patience(double coverage);
 
 static const struct pol_ops latency = {
 	.name = GB_STR_INIT("latency"),
 	.hedge_delay = latency_hedge_delay,
 	.retry = latency_retry,
-	.patience = latency_patience,
+	.patience = 0.9,
 };
 
 static const struct pol_ops coverage_first = {
 	.name = GB_STR_INIT("coverage"),
 	.hedge_delay = coverage_hedge_delay,
 	.retry = coverage_retry,
-	.patience = coverage_patience,
+	.patience = 0.98,
 };
 
 static const struct pol_ops *const policies[] = { &latency, &coverage_first };
@@ -109,12 +107,6 @@
 	return may_retry(view, failure, 2);
 }
 
-static double latency_patience(double coverage)
-{
-	(void)coverage;
-	return 0.9;
-}
-
 static gb_time coverage_hedge_delay(const struct pol_view *view)
 {
 	return quantile_delay(view, 0.98, 0.999);
@@ -126,12 +118,6 @@
 	return may_retry(view, failure, 4);
 }
 
-static double coverage_patience(double coverage)
-{
-	(void)coverage;
-	return 0.98;
-}
-
 const struct pol_ops *pol_find(struct gb_str name)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
--- a/packages/policy/pol.h
+++ b/packages/policy/pol.h
@@ -51,7 +51,7 @@
 	bool (*retry)(const struct pol_view *view, enum pol_failure failure);
 	/* Part of the deadline after which missing shards are given up,
 	 * 0 to 1; the rest is left for the answer's way back. */
-	double (*patience)(double coverage);
+	double patience;
 };
 
 /* Finds a policy; NULL if there is none of that name. */
--- a/packages/policy/tests/policy-test.c
+++ b/packages/policy/tests/policy-test.c
@@ -81,7 +81,7 @@
 	(void)ctx;
 	for (size_t i = 0; i < len; i++)
 		gb_buf_addf(out, "%.*s patience=%.2f\n", (int)all[i]->name.len,
-			    all[i]->name.ptr, all[i]->patience(0.5));
+			    all[i]->name.ptr, all[i]->patience);
 	gb_buf_addf(out, "unknown name: %s\n",
 		    pol_find(scr_word(args, 0)) ? "found" : "none");
 }
--- a/packages/query/qry-query.c
+++ b/packages/query/qry-query.c
@@ -29,7 +29,7 @@
 			   const struct msg_sub_result *result);
 static bool any_may_have_run(const struct qry_query *query);
 static enum gb_code code_without_answer(const struct qry_query *query);
-static void finish(struct qry_query *query, gb_time now);
+static void finish(struct qry_query *query);
 static void end(struct qry_query *query, enum gb_code code);
 
 uint64_t qry_fingerprint(struct gb_str service, struct gb_str body)
@@ -102,7 +102,7 @@
 /* Returns the time at which missing shards are given up. */
 static gb_time patience_end(const struct qry_query *query)
 {
-	double share = query->policy->patience(qry_coverage(query));
+	double share = query->policy->patience;
 
 	return query->begin +
 	       (gb_time)((double)(query->deadline - query->begin) * share);
@@ -325,11 +325,11 @@
 	/* Without its canary the query can reach no other shard. */
 	if (query->canary &&
 	    query->shards[query->canary_shard].state == QRY_SHARD_LOST) {
-		finish(query, now);
+		finish(query);
 		return;
 	}
 	if (!query->open) {
-		finish(query, now);
+		finish(query);
 		return;
 	}
 	send_due(query, now);
@@ -367,12 +367,12 @@
 	if (query->ended)
 		return;
 	if (now >= query->deadline) {
-		finish(query, now);
+		finish(query);
 		return;
 	}
 	if (now >= patience_end(query) && qry_docs_searched(query) &&
 	    qry_coverage(query) >= query->min_coverage) {
-		finish(query, now);
+		finish(query);
 		return;
 	}
 	send_due(query, now);
@@ -408,11 +408,10 @@
 }
 
 /* Ends the query with what is there. */
-static void finish(struct qry_query *query, gb_time now)
+static void finish(struct qry_query *query)
 {
 	enum gb_code code = GB_OK;
 
-	(void)now;
 	if (!qry_docs_searched(query) && qry_docs_total(query))
 		code = code_without_answer(query);
 	else if (qry_coverage(query) < query->min_coverage)
--- a/packages/shard/shd-shard.c
+++ b/packages/shard/shd-shard.c
@@ -266,16 +266,6 @@
 	}
 }
 
-uint32_t shd_service_index(const struct shd_shard *shard)
-{
-	return shard->service;
-}
-
-uint32_t shd_index(const struct shd_shard *shard)
-{
-	return shard->index;
-}
-
 uint32_t shd_queued(const struct shd_shard *shard)
 {
 	return shd_waiting(shard) + shard->parked.length;
--- a/packages/shard/shd.h
+++ b/packages/shard/shd.h
@@ -145,8 +145,6 @@
 void shd_tick(struct shd_shard *shard, gb_time now);
 gb_time shd_next_tick(const struct shd_shard *shard);
 
-uint32_t shd_service_index(const struct shd_shard *shard);
-uint32_t shd_index(const struct shd_shard *shard);
 uint32_t shd_queued(const struct shd_shard *shard);
 uint32_t shd_running(const struct shd_shard *shard); /* calls in flight */
 /* Tells which process of an upstream a former owner found to be warm. */
