--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 
 DAEMON_SRC = $(wildcard packages/daemon/*.c)
 CTL_SRC = $(wildcard packages/ctl/*.c)
-LIB_SRC = $(filter-out $(DAEMON_SRC) $(CTL_SRC),$(wildcard packages/*/*.c))
+LIB_SRC = $(filter-out $(DAEMON_SRC) $(CTL_SRC),$(wildcard packages/*/*.c)) \
+	$(wildcard platform/*.c)
 STANDIN_SRC = $(wildcard tests/standin/*.c)
 FAKES_SRC = $(wildcard bench/fakes/*.c)
 SCENARIO_SRC = $(FAKES_SRC) tests/scenario/scn-main.c
@@ -21,7 +22,7 @@
 MATRIX_SRC = $(wildcard tests/matrix/*.c)
 UNIT_SRC = $(wildcard packages/*/tests/*.c)
 
-obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
+obj = $(patsubst %.c,$(BUILD)/obj/%.o,$(1))
 LIB = $(BUILD)/libgentianbend.a
 UNITS = $(patsubst %.c,$(BUILD)/%,$(UNIT_SRC))
 
@@ -43,7 +44,7 @@
 
 all: $(BINARIES) $(STANDINS) $(SCENARIOS) $(MATRIX) $(BENCHES) $(UNITS)
 
-$(BUILD)/%.o: %.c
+$(BUILD)/obj/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "  CC $<"
 	@$(CC) $(CFLAGS) -c -o $@ $<
@@ -62,11 +63,12 @@
 	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/scenario: $(call obj,$(SCENARIO_SRC)) \
-		$(BUILD)/tests/script/scr.o $(LIB)
+		$(BUILD)/obj/tests/script/scr.o $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
-$(UNITS): $(BUILD)/%: $(BUILD)/%.o $(BUILD)/tests/script/scr.o $(LIB)
+$(UNITS): $(BUILD)/%: $(BUILD)/obj/%.o $(BUILD)/obj/tests/script/scr.o $(LIB)
+	@mkdir -p $(@D)
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
 
@@ -74,8 +76,6 @@
 CTL_TESTED = $(filter-out %/ctl-main.c %/ctl-http.c %/ctl-shell.c,$(CTL_SRC))
 $(BUILD)/packages/ctl/tests/ctl-test: $(call obj,$(CTL_TESTED))
 $(BUILD)/packages/ctl/tests/http-test: $(call obj,packages/ctl/ctl-http.c)
-$(BUILD)/packages/daemon/tests/response-test: \
-	$(call obj,packages/daemon/gd-response.c)
 
 
 define program
@@ -87,10 +87,10 @@
 	$(eval $(call program,$(BUILD)/$(p),tests/standin,$(p),$(STANDIN_SRC),)))
 $(foreach p,$(filter-out common,$(call programs,$(BENCH_SRC))),\
 	$(eval $(call program,$(BUILD)/bench-$(p),bench,$(p),$(BENCH_SRC),\
-	$(call obj,$(FAKES_SRC)) $(BUILD)/tests/script/scr.o)))
+	$(call obj,$(FAKES_SRC)) $(BUILD)/obj/tests/script/scr.o)))
 
 $(BUILD)/matrix: $(call obj,$(MATRIX_SRC) $(FAKES_SRC)) \
-		$(BUILD)/tests/script/scr.o $(LIB)
+		$(BUILD)/obj/tests/script/scr.o $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
@@ -108,7 +108,7 @@
 		--enable=warning,performance,portability --inline-suppr \
 		--library=gtk \
 		'-Djson_object_foreach(o,k,v)=for ((k) = 0, (v) = (o); (v);)' \
-		-Ipackages -Itests packages tests bench
+		-Ipackages -Itests -I. packages platform tests bench
 
 install-deps:
 	@.ci/install
--- a/packages/base/gb-str.c
+++ b/packages/base/gb-str.c
@@ -97,6 +97,20 @@
 	return true;
 }
 
+bool gb_str_cut_last(struct gb_str s, char sep, struct gb_str *head,
+		     struct gb_str *tail)
+{
+	size_t at = s.len;
+
+	while (at && s.ptr[at - 1] != sep)
+		at--;
+	if (!at)
+		return false;
+	*head = gb_str_sub(s, 0, at - 1);
+	*tail = gb_str_sub(s, at, s.len);
+	return true;
+}
+
 int gb_str_to_int(struct gb_str s, int64_t min, int64_t max, int64_t *out)
 {
 	char text[24];
--- a/packages/base/gb.h
+++ b/packages/base/gb.h
@@ -65,6 +65,10 @@
 /* Cuts s at the first sep: head gets the part before it, s the rest. */
 bool gb_str_cut(struct gb_str *s, char sep, struct gb_str *head);
 
+/* The parts before and after the last sep; false if there is none. */
+bool gb_str_cut_last(struct gb_str s, char sep, struct gb_str *head,
+		     struct gb_str *tail);
+
 /* Parses the whole of s as a decimal number within [min, max]. */
 int gb_str_to_int(struct gb_str s, int64_t min, int64_t max, int64_t *out);
 int gb_str_to_double(struct gb_str s, double min, double max, double *out);
--- /dev/null
+++ b/packages/budget/bud.c
@@ -0,0 +1,77 @@
+#include "budget/bud.h"
+
+#include <glib.h>
+
+/*
+ * The part of the share that is spent: VMs see their peers come and go at
+ * different moments, and a repeat may arrive in a later second than it left.
+ */
+#define SPENT_SHARE 0.85
+
+struct totals {
+	uint32_t requests;
+	uint32_t repeats;
+};
+
+static struct bud_slot *slot_at(struct bud *bud, gb_time now)
+{
+	int64_t second = now / GB_SEC;
+	struct bud_slot *slot = &bud->slot[second % BUD_SLOTS_MAX];
+
+	if (slot->second != second)
+		*slot = (struct bud_slot){ .second = second };
+	return slot;
+}
+
+static struct totals sum(const struct bud *bud, gb_time window, gb_time now)
+{
+	int64_t last = now / GB_SEC;
+	int64_t slots = MIN(window / GB_SEC + 1, BUD_SLOTS_MAX);
+	struct totals totals = { 0 };
+
+	for (int64_t i = 0; i < BUD_SLOTS_MAX; i++) {
+		const struct bud_slot *slot = &bud->slot[i];
+
+		if (slot->second > last || slot->second <= last - slots)
+			continue;
+		totals.repeats += slot->repeats;
+		/* The oldest slot may lie outside of the span. */
+		if (slot->second > last - slots + 1)
+			totals.requests += slot->requests;
+	}
+	return totals;
+}
+
+static double allowed(const struct bud_limits *limits, uint32_t requests)
+{
+	double extra =
+		limits->settled ? limits->extra / MAX(limits->vms, 1) : 0;
+
+	return SPENT_SHARE * (limits->ratio * requests + extra);
+}
+
+void bud_request(struct bud *bud, gb_time now)
+{
+	slot_at(bud, now)->requests++;
+}
+
+bool bud_take(struct bud *bud, const struct bud_limits *limits, gb_time now)
+{
+	struct totals totals = sum(bud, limits->window, now);
+
+	if (totals.repeats + 1 > allowed(limits, totals.requests))
+		return false;
+	slot_at(bud, now)->repeats++;
+	return true;
+}
+
+double bud_level(const struct bud *bud, const struct bud_limits *limits,
+		 gb_time now)
+{
+	struct totals totals = sum(bud, limits->window, now);
+	double most = allowed(limits, totals.requests);
+
+	if (most <= 0)
+		return 0;
+	return CLAMP(1 - totals.repeats / most, 0, 1);
+}
--- a/packages/daemon/gd-link.c
+++ b/packages/daemon/gd-link.c
@@ -43,7 +43,7 @@
 {
 	struct gd_link *link = handle->data;
 
-	gd_response_free(&link->response);
+	ht_response_free(&link->response);
 	g_free(link);
 }
 
@@ -185,25 +185,25 @@
 		link_finish(link, GD_LOST);
 		return;
 	}
-	gd_response_feed(&link->response, (struct gb_str){ buf->base, len });
+	ht_response_feed(&link->response, (struct gb_str){ buf->base, len });
 	link_parse(link);
 }
 
 static void link_parse(struct gd_link *link)
 {
-	struct gd_response *response = &link->response;
+	struct ht_response *response = &link->response;
 	struct gd_exchange *x = link->x;
 
 	for (;;) {
-		enum gd_part part = gd_response_next(response, &x->body);
+		enum ht_part part = ht_response_next(response, &x->body);
 
-		if (part == GD_PART_BAD || x->body.len > ANSWER_MAX) {
+		if (part == HT_PART_BAD || x->body.len > ANSWER_MAX) {
 			link_finish(link, GD_LOST);
 			return;
 		}
-		if (part == GD_PART_MORE)
+		if (part == HT_PART_MORE)
 			return;
-		if (part == GD_PART_END) {
+		if (part == HT_PART_END) {
 			link_finish(link, GD_ANSWERED);
 			return;
 		}
@@ -217,7 +217,7 @@
 /* Gives the head to the exchange; false if that refuses the answer. */
 static bool take_head(struct gd_link *link)
 {
-	struct gd_response *response = &link->response;
+	struct ht_response *response = &link->response;
 	struct gd_exchange *x = link->x;
 
 	x->status = response->status;
@@ -240,7 +240,7 @@
 	/* Bytes after the answer would be taken for the next one. */
 	if (usable && link->response.keep && !link->writing &&
 	    !link->response.in.len) {
-		gd_response_reset(&link->response);
+		ht_response_reset(&link->response);
 		link->idle = true;
 		link->idle_since = gd_now();
 		g_queue_push_head(&link->endpoint->idle, link);
--- a/packages/daemon/gd-link.h
+++ b/packages/daemon/gd-link.h
@@ -10,7 +10,7 @@
  *	it is idle, so that an exchange costs one write and one read.
  */
 
-#include "daemon/gd-response.h"
+#include "http/ht-response.h"
 #include "daemon/gd.h"
 
 struct gd_link {
@@ -19,7 +19,7 @@
 	uv_write_t write;
 	struct gd_endpoint *endpoint;
 	struct gd_exchange *x; /* NULL while idle or closing */
-	struct gd_response response;
+	struct ht_response response;
 	bool writing; /* a part of the request waits for the socket */
 	bool idle;
 	gb_time idle_since;
--- a/packages/daemon/gd-main.c
+++ b/packages/daemon/gd-main.c
@@ -1,4 +1,5 @@
 #include "daemon/gd.h"
+#include "platform/pf.h"
 
 #include <argp.h>
 #include <errno.h>
@@ -164,6 +165,23 @@
 	return 0;
 }
 
+/*
+ * Reads the settings of a running VM again. Those that were read before stay
+ * allocated, since strings of them are still in use.
+ */
+static int reload(void *ctx, struct fr_settings *front)
+{
+	struct set_settings *settings = g_new0(struct set_settings, 1);
+
+	if (read_settings(ctx, settings)) {
+		set_free(settings);
+		g_free(settings);
+		return 1;
+	}
+	*front = settings->front;
+	return 0;
+}
+
 int main(int argc, char **argv)
 {
 	static const struct argp argp = {
@@ -181,6 +199,11 @@
 	if (options.check)
 		goto out;
 	raise_descriptor_limit();
+	if (gb_str_eq(gd.settings.role, GB_STR("front"))) {
+		ret = fr_run(&gd.settings.front, &pf_platform, options.settings,
+			     reload, &options);
+		goto out;
+	}
 	gd.uv = uv_default_loop();
 	ret = run(&gd);
 out:
--- /dev/null
+++ b/packages/directory/dir.c
@@ -0,0 +1,90 @@
+#include "directory/dir.h"
+
+#include <glib.h>
+
+/* Between two waits that brought changes. */
+#define PAUSE (150 * GB_MSEC)
+
+#define BACKOFF_MIN (100 * GB_MSEC)
+#define BACKOFF_MAX (800 * GB_MSEC)
+#define DOUBLINGS_MAX 4
+
+#define LIST_TIMEOUT (2 * GB_SEC)
+
+/* Above the time that the store may wait; a slow store answers later. */
+#define WATCH_MARGIN (1 * GB_SEC)
+
+void dir_init(struct dir_follower *follower)
+{
+	*follower = (struct dir_follower){ .step = DIR_LIST };
+}
+
+void dir_free(struct dir_follower *follower)
+{
+	gb_str_free(&follower->after);
+}
+
+static void set_after(struct dir_follower *follower, struct gb_str name)
+{
+	struct gb_str copy = gb_str_dup(name);
+
+	gb_str_free(&follower->after);
+	follower->after = copy;
+}
+
+static void answered(struct dir_follower *follower, gb_time due)
+{
+	follower->failures = 0;
+	follower->failing_since = 0;
+	follower->due = due;
+}
+
+/*
+ * Pages are read one after the other and may differ in age, so changes are
+ * awaited from the revision of the first one.
+ */
+void dir_listed(struct dir_follower *follower, gb_time now, int64_t revision,
+		bool more, struct gb_str last)
+{
+	answered(follower, now);
+	if (!follower->after.len)
+		follower->revision = revision;
+	if (more) {
+		set_after(follower, last);
+		return;
+	}
+	set_after(follower, GB_STR(""));
+	follower->step = DIR_WATCH;
+	follower->synced = true;
+}
+
+void dir_watched(struct dir_follower *follower, gb_time now, int64_t revision,
+		 size_t changes)
+{
+	answered(follower, changes ? now + PAUSE : now);
+	follower->revision = MAX(follower->revision, revision);
+}
+
+void dir_history_lost(struct dir_follower *follower, gb_time now)
+{
+	answered(follower, now);
+	set_after(follower, GB_STR(""));
+	follower->step = DIR_LIST;
+}
+
+void dir_failed(struct dir_follower *follower, gb_time now)
+{
+	gb_time pause = BACKOFF_MIN << MIN(follower->failures, DOUBLINGS_MAX);
+
+	if (!follower->failing_since)
+		follower->failing_since = now;
+	follower->failures++;
+	follower->due = now + MIN(pause, BACKOFF_MAX);
+}
+
+gb_time dir_timeout(const struct dir_follower *follower)
+{
+	if (follower->step == DIR_LIST)
+		return LIST_TIMEOUT;
+	return DIR_WAIT + WATCH_MARGIN;
+}
--- /dev/null
+++ b/packages/event/ev-log.c
@@ -0,0 +1,105 @@
+#include "event/ev-log.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <poll.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Lines kept while the descriptor takes none. */
+#define BUFFER_MAX (256 * 1024)
+
+/* A pipe that polls as writable takes at least this much at once. */
+#define WRITE_MAX 4096
+
+void ev_log_init(struct ev_log *log, int fd, struct gb_str name,
+		 enum ev_severity severity, uint32_t rate)
+{
+	*log = (struct ev_log){ .fd = fd,
+				.severity = severity,
+				.name = name,
+				.rate = rate,
+				.tokens = rate };
+}
+
+/* Takes one line from the bucket, which holds those of one second. */
+static bool take_token(struct ev_log *log, gb_time now)
+{
+	double passed = (double)(now - log->tokens_at) / GB_SEC;
+
+	log->tokens = MIN(log->tokens + passed * log->rate, log->rate);
+	log->tokens_at = now;
+	if (log->tokens < 1)
+		return false;
+	log->tokens -= 1;
+	return true;
+}
+
+static void add_line(struct ev_log *log, const struct ev_event *event)
+{
+	struct timespec wall;
+
+	clock_gettime(CLOCK_REALTIME, &wall);
+	gb_buf_addf(&log->buf, "%" PRId64 ".%06ld %.*s ", (int64_t)wall.tv_sec,
+		    wall.tv_nsec / 1000, (int)log->name.len, log->name.ptr);
+	ev_text(event, &log->buf);
+	gb_buf_addc(&log->buf, '\n');
+}
+
+void ev_log_add(struct ev_log *log, const struct ev_event *event, gb_time now)
+{
+	const struct ev_row *row = ev_row(event->code);
+	enum ev_severity severity = row ? row->severity : EV_DEBUG;
+
+	if (severity > log->severity)
+		return;
+	if (log->buf.len > BUFFER_MAX ||
+	    (severity >= EV_INFO && !take_token(log, now))) {
+		log->dropped++;
+		return;
+	}
+	add_line(log, event);
+}
+
+static void tell_dropped(struct ev_log *log)
+{
+	const struct ev_event event = { .code = EV_LOG_DROPPED,
+					.a = log->dropped };
+
+	if (!log->dropped || log->buf.len > BUFFER_MAX)
+		return;
+	log->dropped = 0;
+	add_line(log, &event);
+}
+
+void ev_log_flush(struct ev_log *log)
+{
+	struct pollfd ready = { .fd = log->fd, .events = POLLOUT };
+	size_t done = 0;
+
+	tell_dropped(log);
+	while (done < log->buf.len) {
+		size_t len = MIN(log->buf.len - done, WRITE_MAX);
+		ssize_t ret;
+
+		if (poll(&ready, 1, 0) <= 0 || !(ready.revents & POLLOUT))
+			break;
+		ret = write(log->fd, log->buf.ptr + done, len);
+		if (ret < 0 && errno == EINTR)
+			continue;
+		if (ret < 0)
+			break;
+		done += ret;
+	}
+	if (!done)
+		return;
+	log->buf.len -= done;
+	memmove(log->buf.ptr, log->buf.ptr + done, log->buf.len);
+}
+
+void ev_log_free(struct ev_log *log)
+{
+	gb_buf_free(&log->buf);
+}
--- a/packages/event/ev-text.c
+++ b/packages/event/ev-text.c
@@ -103,4 +103,8 @@
 	add_text(out, GB_STR("dc"), event->dc);
 	add_number(out, row ? row->a : GB_STR("a"), event->a);
 	add_number(out, row ? row->b : GB_STR("b"), event->b);
+	if (event->detail.len) {
+		gb_buf_addc(out, ' ');
+		gb_buf_add(out, event->detail);
+	}
 }
--- a/packages/event/ev.h
+++ b/packages/event/ev.h
@@ -79,7 +79,25 @@
 	EV_PEER_CONNECTED = 900,
 	EV_PEER_LOST = 901,
 	EV_PEER_BAD_MESSAGE = 902,
-	EV_HTTP_BAD_REQUEST = 904
+	EV_HTTP_BAD_REQUEST = 904,
+	EV_FORWARD_END = 1000,
+	EV_FORWARD_RETRY = 1001,
+	EV_FORWARD_HEDGE = 1002,
+	EV_FORWARD_FAILED = 1003,
+	EV_FORWARD_DENIED = 1004,
+	EV_FORWARD_GONE = 1005,
+	EV_FORWARD_UNROUTED = 1006,
+	EV_DIRECTORY_LOST = 1010,
+	EV_DIRECTORY_BACK = 1011,
+	EV_DIRECTORY_LISTED = 1012,
+	EV_ENTRY_BAD = 1013,
+	EV_ENTRY_TAKEN = 1014,
+	EV_ENTRY_REMOVED = 1015,
+	EV_DC_EXCLUDED = 1016,
+	EV_DC_INCLUDED = 1017,
+	EV_SETTINGS_RELOADED = 1020,
+	EV_SETTINGS_REFUSED = 1021,
+	EV_LOG_DROPPED = 1022
 };
 
 struct ev_event {
@@ -91,6 +109,8 @@
 	struct gb_str dc;
 	int64_t a; /* meaning given by the catalogue row */
 	int64_t b;
+	struct gb_str
+		detail; /* further "key=value" words; not kept in a ring */
 };
 
 struct ev_row {
--- /dev/null
+++ b/packages/fleet/fl-score.c
@@ -0,0 +1,216 @@
+#include "fleet/fl-internal.h"
+
+#include <math.h>
+
+/* Weights of the newest call in the moving averages. */
+#define SLOW_WEIGHT 0.3
+#define FAILURE_WEIGHT 0.2
+
+/* A single sample counts as this much at most. */
+#define SLOW_SAMPLE_MAX 20.0
+
+/* An upstream that is not tried seems half as slow after this time. */
+#define SLOW_HALF_LIFE (2 * GB_SEC)
+
+#define AVOID_MIN (30 * GB_MSEC)
+#define AVOID_MAX (600 * GB_MSEC)
+#define DOWN_MIN (60 * GB_MSEC)
+#define DOWN_MAX (600 * GB_MSEC)
+#define DOUBLINGS_MAX 5
+
+/* What an upstream reported of other VMs' calls holds for about this time. */
+#define REPORT_AGE_MAX (60 * GB_MSEC)
+
+double fl_slowness(const struct fl_upstream *upstream, gb_time now)
+{
+	double age = (double)(now - upstream->slow_at) / SLOW_HALF_LIFE;
+
+	return 1 + (upstream->slow - 1) * exp2(-MAX(age, 0));
+}
+
+static void add_slow_sample(struct fl_upstream *upstream, gb_time now,
+			    gb_time elapsed, gb_time usual)
+{
+	double sample = MIN((double)elapsed / MAX(usual, 1), SLOW_SAMPLE_MAX);
+	double slow = fl_slowness(upstream, now);
+
+	upstream->slow = slow + SLOW_WEIGHT * (sample - slow);
+	upstream->slow_at = now;
+}
+
+static void add_failure(struct fl_upstream *upstream, double failed)
+{
+	upstream->failures += FAILURE_WEIGHT * (failed - upstream->failures);
+}
+
+static gb_time doubled(gb_time first, uint32_t times, gb_time most)
+{
+	return MIN(first << MIN(times, DOUBLINGS_MAX), most);
+}
+
+void fl_answered(struct fl_upstream *upstream, gb_time now, gb_time elapsed,
+		 gb_time usual)
+{
+	upstream->in_flight--;
+	upstream->abandoned = 0;
+	upstream->unreachable = 0;
+	upstream->avoid_until = 0;
+	upstream->down_until = 0;
+	add_failure(upstream, 0);
+	add_slow_sample(upstream, now, elapsed, usual);
+}
+
+void fl_refused(struct fl_upstream *upstream, gb_time now)
+{
+	(void)now;
+	upstream->in_flight--;
+	upstream->unreachable = 0;
+	add_failure(upstream, 1);
+}
+
+void fl_failed(struct fl_upstream *upstream, gb_time now)
+{
+	(void)now;
+	upstream->in_flight--;
+	add_failure(upstream, 1);
+}
+
+void fl_unreachable(struct fl_upstream *upstream, gb_time now)
+{
+	upstream->in_flight--;
+	upstream->down_until =
+		now + doubled(DOWN_MIN, upstream->unreachable++, DOWN_MAX);
+}
+
+void fl_overdue(struct fl_upstream *upstream, gb_time now, gb_time usual)
+{
+	gb_time until = now + MAX(2 * usual, AVOID_MIN);
+
+	upstream->avoid_until = MAX(upstream->avoid_until, until);
+}
+
+void fl_abandoned(struct fl_upstream *upstream, gb_time now, gb_time elapsed,
+		  gb_time usual)
+{
+	gb_time first = MAX(2 * usual, AVOID_MIN);
+
+	upstream->in_flight--;
+	/* One that had less than the usual time says nothing. */
+	if (elapsed < usual + usual / 2)
+		return;
+	add_slow_sample(upstream, now, elapsed, usual);
+	upstream->avoid_until =
+		now + doubled(first, upstream->abandoned++, AVOID_MAX);
+}
+
+void fl_misdirected(struct fl_fleet *fleet, struct fl_upstream *upstream,
+		    gb_time now)
+{
+	upstream->in_flight--;
+	upstream->leaving = true;
+	upstream->left_at = now - fleet->settings.linger;
+}
+
+void fl_reported(struct fl_upstream *upstream, gb_time now, uint32_t running,
+		 uint32_t waiting)
+{
+	double others = (double)running + waiting - upstream->in_flight;
+
+	upstream->others = MAX(others, 0);
+	upstream->others_at = now;
+}
+
+static double load(const struct fl_upstream *upstream, gb_time now)
+{
+	double age = (double)(now - upstream->others_at) / REPORT_AGE_MAX;
+	double others = upstream->others * MAX(1 - age, 0);
+
+	return upstream->in_flight + others;
+}
+
+/* Expected time until an answer, in microseconds. */
+static double cost(const struct fl_fleet *fleet,
+		   const struct fl_upstream *upstream, gb_time usual,
+		   gb_time now)
+{
+	double busy = load(upstream, now) / upstream->slots;
+	double time = usual * fl_slowness(upstream, now);
+	double queued = MAX(busy + 1.0 / upstream->slots - 1, 0);
+	double sum = time * (1 + 0.25 * busy + queued);
+
+	if (!gb_str_eq(upstream->dc, fleet->settings.dc))
+		sum += fleet->settings.hop;
+	sum *= 1 + 4 * upstream->failures;
+	/* Equal upstreams take turns. */
+	return sum * (1 + 0.05 * gb_rng_unit(fleet->rng));
+}
+
+static bool is_among(const struct fl_upstream *upstream,
+		     const struct fl_need *need)
+{
+	for (size_t i = 0; i < need->except_len; i++)
+		if (need->except[i] == upstream)
+			return true;
+	return false;
+}
+
+/* The ranks in which upstreams are used; a later one only for want of others.
+ */
+enum rank { RANK_GOOD, RANK_AVOIDED, RANK_LEAVING, RANK_NONE };
+
+static enum rank rank(const struct fl_fleet *fleet,
+		      struct fl_upstream *upstream, gb_time now, gb_time *wait)
+{
+	if (g_hash_table_contains(fleet->excluded, &upstream->dc))
+		return RANK_NONE;
+	if (upstream->down_until > now) {
+		*wait = MIN(*wait, upstream->down_until - now);
+		return RANK_NONE;
+	}
+	if (upstream->leaving)
+		return now - upstream->left_at < fleet->settings.linger
+			       ? RANK_LEAVING
+			       : RANK_NONE;
+	if (upstream->cold_until > now && !fl_cold_room(fleet, upstream, now)) {
+		*wait = MIN(*wait, AVOID_MIN);
+		return RANK_NONE;
+	}
+	return upstream->avoid_until > now ? RANK_AVOIDED : RANK_GOOD;
+}
+
+struct fl_upstream *fl_pick(struct fl_fleet *fleet, struct fl_service *service,
+			    const struct fl_need *need, gb_time now,
+			    gb_time *wait)
+{
+	enum rank best_rank = need->spare ? RANK_AVOIDED : RANK_NONE;
+	struct fl_upstream *best = NULL;
+	double best_cost = 0;
+
+	*wait = GB_NEVER;
+	for (guint i = 0; i < service->upstreams->len; i++) {
+		struct fl_upstream *upstream = service->upstreams->pdata[i];
+		enum rank at;
+		double sum;
+
+		if (is_among(upstream, need))
+			continue;
+		at = rank(fleet, upstream, now, wait);
+		if (at > best_rank || at == RANK_NONE ||
+		    (need->spare && at != RANK_GOOD))
+			continue;
+		sum = cost(fleet, upstream, need->usual, now);
+		if (best && at == best_rank && sum >= best_cost)
+			continue;
+		best = upstream;
+		best_rank = at;
+		best_cost = sum;
+	}
+	return best;
+}
+
+void fl_sent(struct fl_fleet *fleet, struct fl_upstream *upstream, gb_time now)
+{
+	upstream->in_flight++;
+	if (upstream->cold_until > now)
+		fl_cold_take(fleet, upstream, now);
+}
--- /dev/null
+++ b/packages/forward/fw-internal.h
@@ -0,0 +1,47 @@
+#ifndef FW_INTERNAL_H
+#define FW_INTERNAL_H
+
+/*
+ * NAME
+ *	fw-internal - the steps of a request, within the package
+ *
+ * DESCRIPTION
+ *	fw-request.c calls fw-part.c, which calls fw-call.c; what a request
+ *	does when a part is settled stands in fw-settle.c.
+ */
+
+#include "forward/fw.h"
+
+/* Usual time of the request's kind, also before any was seen. */
+gb_time fw_usual(const struct fw_request *request);
+void fw_pace_add(struct fw_pace *pace, gb_time elapsed);
+
+/* Sends a part to the upstream; it becomes the part's last call. */
+void fw_call_start(struct fw_part *part, struct fl_upstream *upstream,
+		   enum fw_cause cause, gb_time now);
+void fw_call_cancel(struct fw_call *call, gb_time now);
+void fw_cancel_running(struct fw_part *part, gb_time now);
+
+/* Chooses an upstream for a first or a further send of the part. */
+struct fl_upstream *fw_choose(struct fw_part *part, bool spare, gb_time now,
+			      gb_time *wait);
+
+/* Sends a waiting part once more, for a failure or a late answer. */
+void fw_part_failed(struct fw_part *part, struct fw_call *call, gb_time now);
+void fw_part_hedge(struct fw_part *part, gb_time now);
+void fw_part_retry(struct fw_part *part, gb_time now);
+void fw_part_missing(struct fw_part *part);
+gb_time fw_hedge_delay(const struct fw_part *part, gb_time now);
+
+/* Answers the request if it can be answered, or can no longer succeed. */
+void fw_settle(struct fw_request *request, gb_time now);
+void fw_fail(struct fw_request *request, enum fw_reason reason, gb_time wait,
+	     gb_time now);
+void fw_pass_on(struct fw_request *request, struct fw_answer *answer,
+		gb_time now);
+
+void fw_event(const struct fw_request *request, enum ev_code code,
+	      const struct fl_upstream *upstream, const char *fmt, ...)
+	__attribute__((format(printf, 4, 5)));
+
+#endif
--- /dev/null
+++ b/packages/front/fr-caller.c
@@ -0,0 +1,254 @@
+#include "front/fr-internal.h"
+
+#include <string.h>
+
+/* A VM without a configuration asks its callers to come again elsewhere. */
+#define COME_AGAIN_UNREADY (100 * GB_MSEC)
+
+/* Bytes of a path that a log line shows. */
+#define PATH_LOGGED 80
+
+static void on_timer(uv_timer_t *timer);
+
+/* Answers without forwarding anything. */
+static void reply_own(struct fr *fr, struct ht_exchange *x,
+		      const struct fr_ask *ask, int status)
+{
+	struct gb_buf fields = GB_BUF_INIT;
+	const struct fw_reply reply = {
+		.reason = FW_NO_UPSTREAM,
+		.status = status,
+		.retry_after = status == 503 ? COME_AGAIN_UNREADY : 0,
+	};
+	const struct ev_event event = {
+		.code = EV_FORWARD_UNROUTED,
+		.request = ask->id,
+		.a = status,
+		.b = fr->book.table ? fr->book.table->version : 0,
+		.detail = gb_str_sub(x->request.path, 0, PATH_LOGGED),
+	};
+
+	fr_event(fr, &event);
+	met_add(&fr->metrics, MET_QUERIES_REFUSED, 1);
+	fr->platform->write_reply(&reply, ask->id, &fields);
+	ht_reply(x, &(struct ht_reply){ .status = status,
+					.fields = gb_buf_str(&fields) });
+	gb_buf_free(&fields);
+}
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	struct fr_query *query = handle->data;
+
+	gb_buf_free(&query->base);
+	g_free(query);
+}
+
+static void free_query(struct fr_query *query)
+{
+	g_queue_unlink(&query->fr->queries, &query->link);
+	fw_free(query->request);
+	query->request = NULL;
+	uv_close((uv_handle_t *)&query->timer, on_timer_closed);
+}
+
+/* Frees a query that was answered; otherwise waits for what is due next. */
+void fr_query_after(struct fr_query *query)
+{
+	gb_time now = ht_now(), left;
+
+	if (query->request->ended) {
+		free_query(query);
+		return;
+	}
+	left = fw_next(query->request) - now;
+	uv_timer_start(&query->timer, on_timer,
+		       left > 0 ? (left + GB_MSEC - 1) / GB_MSEC : 0, 0);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct fr_query *query = timer->data;
+
+	fw_tick(query->request, ht_now());
+	fr_query_after(query);
+}
+
+static void start_query(struct fr *fr, struct ht_exchange *x,
+			struct rt_route *route, const struct fr_ask *ask)
+{
+	struct fr_query *query = g_new0(struct fr_query, 1);
+	const struct fw_ask forward = { .id = ask->id,
+					.received = x->received,
+					.deadline = ask->deadline,
+					.data = query };
+
+	query->fr = fr;
+	query->x = x;
+	query->link.data = query;
+	x->data = query;
+	uv_timer_init(fr->loop, &query->timer);
+	query->timer.data = query;
+	g_queue_push_tail_link(&fr->queries, &query->link);
+	met_add(&fr->metrics, MET_QUERIES, 1);
+	query->request = fw_new(&fr->engine, fr->book.table, route, &forward);
+	fw_start(query->request, ht_now());
+	fr_query_after(query);
+}
+
+static void on_request(void *ctx, struct ht_exchange *x)
+{
+	struct fr *fr = ctx;
+	struct rt_route *route;
+	struct fr_ask ask;
+
+	met_add(&fr->metrics, MET_HTTP_REQUESTS, 1);
+	fr->platform->read_ask(&x->request, &ask);
+	if (!fr->book.table) {
+		reply_own(fr, x, &ask, 503);
+		return;
+	}
+	route = rt_find(fr->book.table, ask.host, x->request.path);
+	if (!route) {
+		/* A newer version may have the route. */
+		reply_own(fr, x, &ask, fr_is_behind(fr) ? 503 : 404);
+		return;
+	}
+	if (!ask.id.len) {
+		reply_own(fr, x, &ask, 400);
+		return;
+	}
+	start_query(fr, x, route, &ask);
+}
+
+static void on_gone(void *ctx, struct ht_exchange *x)
+{
+	struct fr_query *query = x->data;
+	struct fr *fr = ctx;
+	struct ev_event event = { .code = EV_FORWARD_GONE };
+
+	if (!query)
+		return;
+	event.request = query->request->id;
+	event.b = ht_now() - query->request->received;
+	fr_event(fr, &event);
+	query->x = NULL;
+	fw_gone(query->request, ht_now());
+	free_query(query);
+}
+
+static void on_bad(void *ctx, int status)
+{
+	struct fr *fr = ctx;
+	const struct ev_event event = { .code = EV_HTTP_BAD_REQUEST,
+					.a = status };
+
+	met_add(&fr->metrics, MET_HTTP_BAD, 1);
+	fr_event(fr, &event);
+}
+
+const struct ht_server_ops fr_caller_ops = {
+	.request = on_request,
+	.gone = on_gone,
+	.bad = on_bad,
+};
+
+static void count_reply(struct fr *fr, const struct fw_request *request,
+			const struct fw_reply *reply)
+{
+	enum met_counter counter = MET_QUERIES_REFUSED;
+
+	if (reply->reason == FW_COMPLETE || reply->reason == FW_PASSED_ON)
+		counter = MET_QUERIES_COMPLETE;
+	else if (reply->reason == FW_PARTIAL)
+		counter = MET_QUERIES_PARTIAL;
+	else if (reply->reason == FW_TIMEOUT)
+		counter = MET_QUERIES_LATE;
+	met_add(&fr->metrics, counter, 1);
+	met_hist_add(&fr->metrics.histogram[MET_QUERY_TIME],
+		     ht_now() - request->received);
+}
+
+static void log_reply(struct fr *fr, const struct fw_request *request,
+		      const struct fw_reply *reply)
+{
+	struct gb_str reason = fw_reason_name(reply->reason);
+	struct gb_buf detail = GB_BUF_INIT;
+	struct ev_event event = {
+		.code = EV_FORWARD_END,
+		.request = request->id,
+		.a = reply->status,
+		.b = ht_now() - request->received,
+	};
+
+	gb_buf_addf(&detail,
+		    "reason=%.*s route=%.*s config_version=%lld parts=%u "
+		    "missing=%u sends=%u aim_us=%lld",
+		    (int)reason.len, reason.ptr, (int)request->route->name.len,
+		    request->route->name.ptr,
+		    (long long)request->table->version, request->parts_len,
+		    request->parts_len - request->parts_in, request->sends,
+		    (long long)request->route->aim);
+	event.detail = gb_buf_str(&detail);
+	fr_event(fr, &event);
+	gb_buf_free(&detail);
+}
+
+static void on_reply(void *ctx, struct fw_request *request,
+		     const struct fw_reply *reply)
+{
+	struct fr_query *query = request->data;
+	struct gb_buf fields = GB_BUF_INIT;
+	struct fr *fr = ctx;
+
+	count_reply(fr, request, reply);
+	log_reply(fr, request, reply);
+	fr->platform->write_reply(reply, request->id, &fields);
+	query->x->data = NULL;
+	ht_reply(query->x,
+		 &(struct ht_reply){
+			 .status = reply->status,
+			 .fields = gb_buf_str(&fields),
+			 .body = reply->answer
+					 ? gb_buf_str(&reply->answer->body)
+					 : reply->body,
+		 });
+	query->x = NULL;
+	gb_buf_free(&fields);
+}
+
+static void on_event(void *ctx, enum ev_code code,
+		     const struct fw_request *request,
+		     const struct fl_upstream *upstream, struct gb_str detail)
+{
+	const struct ev_event event = {
+		.code = code,
+		.request = request->id,
+		.upstream = upstream ? upstream->id : GB_STR(""),
+		.dc = upstream ? upstream->dc : GB_STR(""),
+		.detail = detail,
+	};
+
+	fr_event(ctx, &event);
+}
+
+const struct fw_ops fr_forward_ops = {
+	.send = fr_upstream_send,
+	.cancel = fr_upstream_cancel,
+	.reply = on_reply,
+	.event = on_event,
+};
+
+/* Ends what still runs, before the process is killed. */
+void fr_cut_queries(struct fr *fr)
+{
+	GList *next;
+
+	for (GList *at = fr->queries.head; at; at = next) {
+		struct fr_query *query = at->data;
+
+		next = at->next;
+		fw_stop(query->request, ht_now());
+		fr_query_after(query);
+	}
+}
--- /dev/null
+++ b/packages/front/fr-directory.c
@@ -0,0 +1,330 @@
+#include "front/fr-internal.h"
+
+/* A follower that has failed for longer may miss changes that are in force. */
+#define BEHIND_AFTER (1 * GB_SEC)
+
+/* Connections to the store: one for each follower. */
+#define STORE_CONNS FR_KINDS
+
+static void on_timer(uv_timer_t *timer);
+
+/* Ties the routes and services of a version to what outlives it. */
+static void adopt(struct fr *fr, struct rt_table *table)
+{
+	for (guint i = 0; i < table->services->len; i++) {
+		struct rt_service *service = table->services->pdata[i];
+		struct fl_service *known = fl_service(fr->fleet, service->name);
+
+		service->data = known;
+		known->conns_max = service->conns_max;
+		known->cold_rate = service->cold_rate;
+	}
+	for (guint i = 0; i < table->routes->len; i++) {
+		struct rt_route *route = table->routes->pdata[i];
+
+		route->data = fw_pace(&fr->engine, route->name);
+	}
+	fr->front.limits = (struct ht_limits){
+		.head_max = table->limits.head_max,
+		.body_max = table->limits.body_max,
+		.head_timeout = table->limits.head_timeout,
+		.idle_timeout = table->limits.idle_timeout,
+	};
+}
+
+static void on_routes(void *ctx, struct rt_table *table)
+{
+	struct fr *fr = ctx;
+	struct ev_event event = { .code = EV_CONFIG_TAKEN,
+				  .a = table->version };
+
+	if (rt_book_take(&fr->book, table))
+		adopt(fr, table);
+	else
+		event.code = EV_CONFIG_REFUSED;
+	fr_event(fr, &event);
+}
+
+static void on_bad(void *ctx, enum fr_kind kind, struct gb_str name,
+		   const struct gb_error *error)
+{
+	struct fr *fr = ctx;
+	struct gb_buf detail = GB_BUF_INIT;
+	struct ev_event event = { .code = EV_ENTRY_BAD };
+	struct gb_str subject = { error->subject, error->subject_len };
+	struct gb_str code = gb_code_name(error->code);
+
+	gb_buf_addf(&detail, "kind=%d name=", kind);
+	ev_quote(gb_str_sub(name, 0, MIN(name.len, GB_ERROR_SUBJECT_MAX)),
+		 &detail);
+	gb_buf_addf(&detail, " error=%.*s subject=", (int)code.len, code.ptr);
+	ev_quote(subject, &detail);
+	event.detail = gb_buf_str(&detail);
+	fr_event(fr, &event);
+	gb_buf_free(&detail);
+	/* An entry that cannot be read names no upstream to use. */
+	if (kind == FR_UPSTREAMS)
+		fl_remove(fr->fleet, ht_now(), name);
+}
+
+static void on_upstream(void *ctx, const struct fl_entry *entry)
+{
+	struct fr *fr = ctx;
+	struct sockaddr_storage addr;
+	struct gb_buf detail = GB_BUF_INIT;
+	struct gb_error error;
+	struct ev_event event = { .code = EV_ENTRY_TAKEN,
+				  .upstream = entry->id,
+				  .dc = entry->dc };
+
+	if (ht_address(entry->address, &addr)) {
+		gb_fail(&error, GB_ERR_WRONG_TYPE, entry->address, 0);
+		on_bad(ctx, FR_UPSTREAMS, entry->id, &error);
+		return;
+	}
+	if (!fl_put(fr->fleet, ht_now(), entry))
+		return;
+	gb_buf_addf(&detail, "service=%.*s leaving=%d cold_us=%lld born=%lld",
+		    (int)entry->service.len, entry->service.ptr, entry->leaving,
+		    (long long)entry->cold, (long long)entry->born);
+	event.detail = gb_buf_str(&detail);
+	fr_event(fr, &event);
+	gb_buf_free(&detail);
+}
+
+static void on_upstream_gone(void *ctx, struct gb_str id)
+{
+	struct fr *fr = ctx;
+	const struct ev_event event = { .code = EV_ENTRY_REMOVED,
+					.upstream = id };
+
+	fl_remove(fr->fleet, ht_now(), id);
+	fr_event(fr, &event);
+}
+
+static void on_excluded(void *ctx, struct gb_str dc, bool excluded)
+{
+	struct fr *fr = ctx;
+	const struct ev_event event = {
+		.code = excluded ? EV_DC_EXCLUDED : EV_DC_INCLUDED,
+		.dc = dc,
+	};
+
+	fl_exclude(fr->fleet, dc, excluded);
+	fr_event(fr, &event);
+}
+
+static const struct fr_sink sink = {
+	.routes = on_routes,
+	.upstream = on_upstream,
+	.upstream_gone = on_upstream_gone,
+	.excluded = on_excluded,
+	.bad = on_bad,
+};
+
+/* The objects that a list does not name are gone. */
+static void begin_list(struct fr_follow *follow)
+{
+	if (follow->follower.after.len)
+		return;
+	if (follow->kind == FR_UPSTREAMS)
+		fl_list_begin(follow->fr->fleet);
+	if (follow->kind == FR_EXCLUSIONS)
+		fl_include_all(follow->fr->fleet);
+}
+
+static void end_list(struct fr_follow *follow, const struct fr_page *page)
+{
+	const struct ev_event event = {
+		.code = EV_DIRECTORY_LISTED,
+		.a = page->revision,
+		.b = page->objects,
+		.detail = follow->fr->platform->kind_names[follow->kind]
+	};
+
+	if (page->more)
+		return;
+	if (follow->kind == FR_UPSTREAMS)
+		fl_list_end(follow->fr->fleet, ht_now());
+	fr_event(follow->fr, &event);
+}
+
+static void take_list(struct fr_follow *follow)
+{
+	struct fr_page page = { 0 };
+	gb_time now = ht_now();
+
+	begin_list(follow);
+	if (follow->fr->platform->read_list(follow->kind,
+					    gb_buf_str(&follow->call.body),
+					    &sink, follow->fr, &page)) {
+		dir_failed(&follow->follower, now);
+		return;
+	}
+	end_list(follow, &page);
+	dir_listed(&follow->follower, now, page.revision, page.more, page.last);
+	gb_str_free(&page.last);
+}
+
+static void take_changes(struct fr_follow *follow)
+{
+	struct fr_page page = { 0 };
+	gb_time now = ht_now();
+
+	if (follow->fr->platform->read_watch(follow->kind,
+					     gb_buf_str(&follow->call.body),
+					     &sink, follow->fr, &page)) {
+		/* Changes that cannot be read are found by a new list. */
+		dir_history_lost(&follow->follower, now);
+		return;
+	}
+	dir_watched(&follow->follower, now, page.revision, page.objects);
+}
+
+static void tell_lost(struct fr_follow *follow)
+{
+	const struct ev_event event = {
+		.code = EV_DIRECTORY_LOST,
+		.detail = follow->fr->platform->kind_names[follow->kind],
+	};
+
+	if (follow->follower.failures == 1)
+		fr_event(follow->fr, &event);
+}
+
+static void tell_back(struct fr_follow *follow, gb_time since)
+{
+	const struct ev_event event = {
+		.code = EV_DIRECTORY_BACK,
+		.b = ht_now() - since,
+		.detail = follow->fr->platform->kind_names[follow->kind],
+	};
+
+	if (since)
+		fr_event(follow->fr, &event);
+}
+
+static void arm(struct fr_follow *follow, gb_time at)
+{
+	gb_time left = at - ht_now();
+
+	uv_timer_start(&follow->timer, on_timer,
+		       left > 0 ? (left + GB_MSEC - 1) / GB_MSEC : 0, 0);
+}
+
+static void fail(struct fr_follow *follow)
+{
+	dir_failed(&follow->follower, ht_now());
+	tell_lost(follow);
+}
+
+/* Takes the answer of the store and waits for the next step. */
+static void finish(struct fr_follow *follow, enum ht_outcome outcome)
+{
+	gb_time since = follow->follower.failing_since;
+
+	follow->running = false;
+	if (outcome == HT_ANSWERED && follow->status == 200) {
+		tell_back(follow, since);
+		if (follow->follower.step == DIR_LIST)
+			take_list(follow);
+		else
+			take_changes(follow);
+	} else if (outcome == HT_ANSWERED && follow->status == 410) {
+		dir_history_lost(&follow->follower, ht_now());
+	} else {
+		fail(follow);
+	}
+	gb_buf_free(&follow->call.body);
+	arm(follow, follow->follower.due);
+}
+
+static bool on_encode(struct ht_call *call, struct gb_buf *out)
+{
+	struct fr_follow *follow =
+		(struct fr_follow *)((char *)call -
+				     offsetof(struct fr_follow, call));
+	const struct fr_platform *platform = follow->fr->platform;
+
+	if (follow->follower.step == DIR_LIST) {
+		met_add(&follow->fr->metrics, MET_STORE_READS, 1);
+		platform->write_list(follow->kind, follow->follower.after, out);
+	} else {
+		met_add(&follow->fr->metrics, MET_STORE_WATCHES, 1);
+		platform->write_watch(follow->kind, follow->follower.revision,
+				      DIR_WAIT, out);
+	}
+	return true;
+}
+
+static enum ht_verdict on_head(struct ht_call *call,
+			       const struct ht_response *response)
+{
+	struct fr_follow *follow =
+		(struct fr_follow *)((char *)call -
+				     offsetof(struct fr_follow, call));
+
+	follow->status = response->status;
+	return HT_TAKE;
+}
+
+static void on_done(struct ht_call *call, enum ht_outcome outcome)
+{
+	finish((struct fr_follow *)((char *)call -
+				    offsetof(struct fr_follow, call)),
+	       outcome);
+}
+
+static const struct ht_call_ops call_ops = {
+	.encode = on_encode,
+	.head = on_head,
+	.done = on_done,
+};
+
+/* The step is due, or the store has not answered in time. */
+static void on_timer(uv_timer_t *timer)
+{
+	struct fr_follow *follow = timer->data;
+
+	if (follow->running) {
+		ht_call_cancel(&follow->call);
+		finish(follow, HT_LOST);
+		return;
+	}
+	follow->running = true;
+	arm(follow, ht_now() + dir_timeout(&follow->follower));
+	ht_call_start(&follow->call, follow->fr->store, &call_ops);
+}
+
+int fr_directory_start(struct fr *fr)
+{
+	fr->store = ht_target_new(fr->loop, fr->settings.store, STORE_CONNS);
+	if (!fr->store)
+		return UV_EINVAL;
+	for (int kind = 0; kind < FR_KINDS; kind++) {
+		struct fr_follow *follow = &fr->follows[kind];
+
+		follow->fr = fr;
+		follow->kind = kind;
+		dir_init(&follow->follower);
+		uv_timer_init(fr->loop, &follow->timer);
+		follow->timer.data = follow;
+		uv_timer_start(&follow->timer, on_timer, 0, 0);
+	}
+	return 0;
+}
+
+bool fr_is_synced(const struct fr *fr)
+{
+	for (int kind = 0; kind < FR_KINDS; kind++)
+		if (!fr->follows[kind].follower.synced)
+			return false;
+	return fr->book.table != NULL;
+}
+
+bool fr_is_behind(const struct fr *fr)
+{
+	gb_time since = fr->follows[FR_ROUTES].follower.failing_since;
+
+	return since && ht_now() - since > BEHIND_AFTER;
+}
--- /dev/null
+++ b/packages/front/fr-internal.h
@@ -0,0 +1,105 @@
+#ifndef FR_INTERNAL_H
+#define FR_INTERNAL_H
+
+/*
+ * NAME
+ *	fr-internal - the state of one VM, within the package
+ */
+
+#include "directory/dir.h"
+#include "event/ev-log.h"
+#include "front/fr.h"
+#include "member/mem.h"
+
+enum fr_phase {
+	FR_RUNNING,
+	FR_STOPPING, /* not ready; kept connections end with their answer */
+	FR_CLOSING /* idle connections are closed as well */
+};
+
+/* Follows one kind of objects. */
+struct fr_follow {
+	struct fr *fr;
+	enum fr_kind kind;
+	struct dir_follower follower;
+	struct ht_call call;
+	bool running;
+	int status;
+	uv_timer_t timer; /* due time, or time-out of the call */
+};
+
+struct fr {
+	struct fr_settings settings;
+	const struct fr_platform *platform;
+	const char *file; /* of the settings */
+	fr_reload reload;
+	void *reload_ctx;
+	uint64_t file_hash;
+	uv_loop_t *loop;
+	uv_signal_t signals[3];
+	uv_timer_t tick;
+	enum fr_phase phase;
+	gb_time stop_at; /* when SIGTERM came */
+	bool was_ready;
+	struct gb_rng rng;
+	struct met_registry metrics;
+	struct ev_log log;
+	struct ht_server front;
+	struct ht_server ready;
+	struct ht_server control;
+	struct ht_server scrape;
+	struct fl_fleet *fleet;
+	struct fw_engine engine;
+	struct rt_book book;
+	GQueue queries; /* of struct fr_query */
+	struct mem_table *members;
+	uv_udp_t udp;
+	uint32_t ticks;
+	struct ht_target *store;
+	struct fr_follow follows[FR_KINDS];
+};
+
+/* A request of a caller that runs. */
+struct fr_query {
+	struct fr *fr;
+	GList link; /* in fr->queries */
+	struct ht_exchange *x;
+	struct fw_request *request;
+	struct gb_buf base; /* of the head sent to upstreams */
+	uv_timer_t timer;
+};
+
+void fr_event(struct fr *fr, const struct ev_event *event);
+
+/* Callers. */
+extern const struct ht_server_ops fr_caller_ops;
+extern const struct fw_ops fr_forward_ops;
+void fr_query_after(struct fr_query *query);
+void fr_cut_queries(struct fr *fr);
+
+/* Upstreams. */
+extern const struct fl_ops fr_fleet_ops;
+extern const struct fl_share fr_share;
+void fr_upstream_send(void *ctx, struct fw_call *call);
+void fr_upstream_cancel(void *ctx, struct fw_call *call);
+
+/* The store. */
+int fr_directory_start(struct fr *fr);
+bool fr_is_synced(const struct fr *fr);
+bool fr_is_behind(const struct fr *fr);
+
+/* Members. */
+int fr_member_start(struct fr *fr);
+void fr_member_tick(struct fr *fr);
+
+/* Readiness, metrics and status. */
+extern const struct ht_server_ops fr_ready_ops;
+extern const struct ht_server_ops fr_control_ops;
+bool fr_is_ready(const struct fr *fr);
+
+/* Budget and limits that depend on settings and members. */
+void fr_update_limits(struct fr *fr);
+void fr_take_settings(struct fr *fr);
+void fr_check_settings(struct fr *fr, bool told);
+
+#endif
--- /dev/null
+++ b/packages/http/ht-request.c
@@ -0,0 +1,255 @@
+#include "http/ht-request.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* How the body of a request is delimited. */
+struct framing {
+	bool chunked;
+	bool has_length;
+	int64_t length;
+	bool expects_continue;
+};
+
+static bool equals_nocase(struct gb_str s, struct gb_str lower)
+{
+	return s.len == lower.len &&
+	       !g_ascii_strncasecmp(s.ptr, lower.ptr, s.len);
+}
+
+static void lower(struct gb_str s)
+{
+	char *bytes = (char *)s.ptr;
+
+	for (size_t i = 0; i < s.len; i++)
+		bytes[i] = g_ascii_tolower(bytes[i]);
+}
+
+static int take_length(struct framing *framing, struct gb_str value)
+{
+	int64_t length;
+
+	if (gb_str_to_int(value, 0, INT64_MAX, &length))
+		return -1;
+	if (framing->has_length && framing->length != length)
+		return -1;
+	framing->has_length = true;
+	framing->length = length;
+	return 0;
+}
+
+/* Notes what one field says of the body and of the connection. */
+static int take_field(struct ht_request *request, struct framing *framing,
+		      const struct ht_field *field)
+{
+	if (gb_str_eq(field->name, GB_STR("content-length")))
+		return take_length(framing, field->value);
+	if (gb_str_eq(field->name, GB_STR("transfer-encoding"))) {
+		if (framing->chunked ||
+		    !equals_nocase(field->value, GB_STR("chunked")))
+			return -1;
+		framing->chunked = true;
+	} else if (gb_str_eq(field->name, GB_STR("connection"))) {
+		if (equals_nocase(field->value, GB_STR("close")))
+			request->keep = false;
+		if (equals_nocase(field->value, GB_STR("keep-alive")))
+			request->keep = true;
+	} else if (gb_str_eq(field->name, GB_STR("expect"))) {
+		framing->expects_continue =
+			equals_nocase(field->value, GB_STR("100-continue"));
+	}
+	return 0;
+}
+
+/* Returns the size of the head, -1 if it is bad, -2 if it is incomplete. */
+static int parse_head(struct ht_reader *reader, struct ht_request *request,
+		      struct framing *framing)
+{
+	struct phr_header headers[HT_FIELDS_MAX];
+	size_t len = HT_FIELDS_MAX;
+	int minor, size;
+
+	size = phr_parse_request(reader->in.ptr, reader->in.len,
+				 &request->method.ptr, &request->method.len,
+				 &request->path.ptr, &request->path.len, &minor,
+				 headers, &len, reader->parsed);
+	if (size < 0)
+		return size;
+	request->keep = minor >= 1;
+	request->fields_len = len;
+	for (size_t i = 0; i < len; i++) {
+		struct ht_field *f = &request->fields[i];
+
+		/* A folded line continues the field above it. */
+		if (!headers[i].name || !headers[i].name_len)
+			return -1;
+		f->name =
+			(struct gb_str){ headers[i].name, headers[i].name_len };
+		f->value = (struct gb_str){ headers[i].value,
+					    headers[i].value_len };
+		lower(f->name);
+		if (take_field(request, framing, f))
+			return -1;
+	}
+	if (framing->chunked && framing->has_length)
+		return -1;
+	return size;
+}
+
+/* Points the strings of a request from one buffer into another. */
+static void move_strings(struct ht_request *request, const char *from,
+			 const char *to)
+{
+	request->method.ptr = to + (request->method.ptr - from);
+	request->path.ptr = to + (request->path.ptr - from);
+	for (size_t i = 0; i < request->fields_len; i++) {
+		struct ht_field *f = &request->fields[i];
+
+		f->name.ptr = to + (f->name.ptr - from);
+		f->value.ptr = to + (f->value.ptr - from);
+	}
+}
+
+/* Hands the first bytes of the reader to the request and keeps the rest. */
+static void take_request(struct ht_reader *reader, struct ht_request *request,
+			 size_t head, size_t used)
+{
+	struct gb_str rest = gb_str_sub(gb_buf_str(&reader->in), used,
+					reader->in.len - used);
+
+	request->head = GB_BUF_INIT;
+	gb_buf_add(&request->head,
+		   gb_str_sub(gb_buf_str(&reader->in), 0, head));
+	move_strings(request, reader->in.ptr, request->head.ptr);
+	if (rest.len)
+		memmove(reader->in.ptr, rest.ptr, rest.len);
+	reader->in.len = rest.len;
+	reader->parsed = 0;
+	reader->told_continue = false;
+}
+
+static enum ht_read more(struct ht_reader *reader,
+			 const struct framing *framing)
+{
+	if (!framing->expects_continue || reader->told_continue)
+		return HT_READ_MORE;
+	reader->told_continue = true;
+	return HT_READ_CONTINUE;
+}
+
+static enum ht_read take_length_body(struct ht_reader *reader, size_t head,
+				     const struct framing *framing,
+				     size_t body_max,
+				     struct ht_request *request)
+{
+	size_t length = framing->length;
+
+	if (length > body_max)
+		return HT_READ_BODY_TOO_LARGE;
+	if (reader->in.len - head < length)
+		return more(reader, framing);
+	request->body = GB_BUF_INIT;
+	gb_buf_add(&request->body,
+		   gb_str_sub(gb_buf_str(&reader->in), head, length));
+	take_request(reader, request, head, head + length);
+	return HT_READ_REQUEST;
+}
+
+/* Decodes a copy, since the decoder changes bytes that may yet be incomplete.
+ */
+static enum ht_read take_chunked_body(struct ht_reader *reader, size_t head,
+				      const struct framing *framing,
+				      size_t body_max,
+				      struct ht_request *request)
+{
+	struct ht_chunks decoder = { .consume_trailer = 1 };
+	struct gb_buf body = GB_BUF_INIT;
+	size_t len, used;
+	ssize_t rest;
+
+	gb_buf_add(&body, gb_str_sub(gb_buf_str(&reader->in), head,
+				     reader->in.len - head));
+	len = body.len;
+	rest = len ? phr_decode_chunked(&decoder, body.ptr, &len) : -2;
+	if (rest < 0 || len > body_max) {
+		gb_buf_free(&body);
+		if (len > body_max)
+			return HT_READ_BODY_TOO_LARGE;
+		return rest == -1 ? HT_READ_BAD : more(reader, framing);
+	}
+	used = reader->in.len - rest;
+	body.len = len;
+	request->body = body;
+	take_request(reader, request, head, used);
+	return HT_READ_REQUEST;
+}
+
+enum ht_read ht_reader_next(struct ht_reader *reader, size_t head_max,
+			    size_t body_max, struct ht_request *request)
+{
+	struct framing framing = { 0 };
+	int head;
+
+	if (!reader->in.len)
+		return HT_READ_MORE;
+	head = parse_head(reader, request, &framing);
+	if (head == -1)
+		return HT_READ_BAD;
+	if (head == -2) {
+		reader->parsed = reader->in.len;
+		return reader->in.len > head_max ? HT_READ_HEAD_TOO_LARGE
+						 : HT_READ_MORE;
+	}
+	/* The head is parsed anew when more of the body has come. */
+	reader->parsed = 0;
+	if ((size_t)head > head_max)
+		return HT_READ_HEAD_TOO_LARGE;
+	if (framing.chunked)
+		return take_chunked_body(reader, head, &framing, body_max,
+					 request);
+	return take_length_body(reader, head, &framing, body_max, request);
+}
+
+void ht_reader_free(struct ht_reader *reader)
+{
+	gb_buf_free(&reader->in);
+}
+
+struct gb_str ht_request_field(const struct ht_request *request,
+			       struct gb_str name)
+{
+	for (size_t i = 0; i < request->fields_len; i++)
+		if (gb_str_eq(request->fields[i].name, name))
+			return request->fields[i].value;
+	return GB_STR("");
+}
+
+struct gb_str ht_status_name(int status)
+{
+	static const struct {
+		int status;
+		struct gb_str name;
+	} rows[] = {
+		{ 200, GB_STR_INIT("OK") },
+		{ 400, GB_STR_INIT("Bad Request") },
+		{ 404, GB_STR_INIT("Not Found") },
+		{ 408, GB_STR_INIT("Request Timeout") },
+		{ 413, GB_STR_INIT("Content Too Large") },
+		{ 431, GB_STR_INIT("Request Header Fields Too Large") },
+		{ 500, GB_STR_INIT("Internal Server Error") },
+		{ 502, GB_STR_INIT("Bad Gateway") },
+		{ 503, GB_STR_INIT("Service Unavailable") },
+		{ 504, GB_STR_INIT("Gateway Timeout") },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		if (rows[i].status == status)
+			return rows[i].name;
+	return GB_STR("Status");
+}
+
+void ht_request_clear(struct ht_request *request)
+{
+	gb_buf_free(&request->head);
+	gb_buf_free(&request->body);
+}
--- a/packages/daemon/gd-response.c
+++ b/packages/http/ht-response.c
@@ -1,45 +1,28 @@
-#include "daemon/gd-response.h"
+#include "http/ht-response.h"
+#include "http/ht-parser.h"
 
 #include <glib.h>
 #include <string.h>
-#include <sys/types.h>
 
-#define FIELDS_MAX 100
 #define HEAD_MAX (64 * 1024)
 
 /* A larger buffer is freed when its answer is complete. */
 #define BUFFER_KEPT (16 * 1024)
 
-/*
- * libh2o exports its parser, picohttpparser, but the package for development
- * has no header for it.
- */
-struct phr_header {
-	const char *name;
-	size_t name_len;
-	const char *value;
-	size_t value_len;
-};
-
-int phr_parse_response(const char *buf, size_t len, int *minor_version,
-		       int *status, const char **msg, size_t *msg_len,
-		       struct phr_header *headers, size_t *num_headers,
-		       size_t last_len);
-ssize_t phr_decode_chunked(struct gd_chunks *decoder, char *buf, size_t *size);
-
-static enum gd_part parse_head(struct gd_response *response);
-static int take_field(struct gd_response *response, const struct gd_field *f,
+static enum ht_part parse_head(struct ht_response *response);
+static int take_field(struct ht_response *response, const struct ht_field *f,
 		      bool *framed);
 static void lower(struct gb_str s);
 static void consume(struct gb_buf *buf, size_t len);
-static enum gd_part take_length(struct gd_response *response,
+static enum ht_part take_length(struct ht_response *response,
 				struct gb_buf *body);
-static enum gd_part take_chunks(struct gd_response *response,
+static enum ht_part take_chunks(struct ht_response *response,
 				struct gb_buf *body);
+static enum ht_part take_all(struct ht_response *response, struct gb_buf *body);
 static bool has_no_body(int status);
 
 /* All answers share one table, since a head is used as soon as it is read. */
-static struct gd_field fields[FIELDS_MAX];
+static struct ht_field fields[HT_FIELDS_MAX];
 
 static void lower(struct gb_str s)
 {
@@ -61,7 +44,7 @@
 }
 
 /* Notes the framing and whether the connection stays open. */
-static int take_field(struct gd_response *response, const struct gd_field *f,
+static int take_field(struct ht_response *response, const struct ht_field *f,
 		      bool *framed)
 {
 	int64_t length;
@@ -88,14 +71,15 @@
 }
 
 /*
- * Without a length or chunks the end of the body is the end of the connection,
- * and a cut could not be noticed, so such an answer is not accepted.
+ * Without a length or chunks the body ends with the connection. A cut then
+ * looks like the end, so only a reader that tells a reset from an orderly end
+ * may accept such an answer.
  */
-static enum gd_part parse_head(struct gd_response *response)
+static enum ht_part parse_head(struct ht_response *response)
 {
 	struct gb_buf *in = &response->in;
-	struct phr_header headers[FIELDS_MAX];
-	size_t len = FIELDS_MAX, text_len;
+	struct phr_header headers[HT_FIELDS_MAX];
+	size_t len = HT_FIELDS_MAX, text_len;
 	const char *text;
 	bool framed = false;
 	int minor, size;
@@ -103,18 +87,18 @@
 	size = phr_parse_response(in->ptr, in->len, &minor, &response->status,
 				  &text, &text_len, headers, &len, 0);
 	if (size == -2)
-		return in->len > HEAD_MAX ? GD_PART_BAD : GD_PART_MORE;
+		return in->len > HEAD_MAX ? HT_PART_BAD : HT_PART_MORE;
 	if (size < 0 || response->status == 101)
-		return GD_PART_BAD;
+		return HT_PART_BAD;
 	if (response->status < 200) {
 		consume(in, size);
-		return in->len ? parse_head(response) : GD_PART_MORE;
+		return in->len ? parse_head(response) : HT_PART_MORE;
 	}
 	response->keep = minor >= 1;
 	response->fields = fields;
 	response->fields_len = len;
 	for (size_t i = 0; i < len; i++) {
-		struct gd_field *f = &fields[i];
+		struct ht_field *f = &fields[i];
 
 		f->name =
 			(struct gb_str){ headers[i].name, headers[i].name_len };
@@ -122,22 +106,25 @@
 					    headers[i].value_len };
 		lower(f->name);
 		if (take_field(response, f, &framed))
-			return GD_PART_BAD;
+			return HT_PART_BAD;
 	}
 	if (has_no_body(response->status)) {
 		response->left = 0;
 		response->chunked = false;
 	} else if (!framed) {
-		return GD_PART_BAD;
+		if (!response->accept_unframed)
+			return HT_PART_BAD;
+		response->unframed = true;
+		response->keep = false;
 	}
 	response->chunks.consume_trailer = 1;
 	response->head_done = true;
 	/* The fields point into the head, which goes with the next call. */
 	response->head_size = size;
-	return GD_PART_HEAD;
+	return HT_PART_HEAD;
 }
 
-static enum gd_part take_length(struct gd_response *response,
+static enum ht_part take_length(struct ht_response *response,
 				struct gb_buf *body)
 {
 	struct gb_buf *in = &response->in;
@@ -146,10 +133,17 @@
 	gb_buf_add(body, (struct gb_str){ in->ptr, len });
 	consume(in, len);
 	response->left -= len;
-	return response->left ? GD_PART_MORE : GD_PART_END;
+	return response->left ? HT_PART_MORE : HT_PART_END;
 }
 
-static enum gd_part take_chunks(struct gd_response *response,
+static enum ht_part take_all(struct ht_response *response, struct gb_buf *body)
+{
+	gb_buf_add(body, gb_buf_str(&response->in));
+	gb_buf_reset(&response->in);
+	return HT_PART_MORE;
+}
+
+static enum ht_part take_chunks(struct ht_response *response,
 				struct gb_buf *body)
 {
 	struct gb_buf *in = &response->in;
@@ -157,22 +151,22 @@
 	ssize_t rest;
 
 	if (!len)
-		return GD_PART_MORE;
+		return HT_PART_MORE;
 	rest = phr_decode_chunked(&response->chunks, in->ptr, &len);
 	if (rest == -1)
-		return GD_PART_BAD;
+		return HT_PART_BAD;
 	gb_buf_add(body, (struct gb_str){ in->ptr, len });
 	if (rest == -2) {
 		gb_buf_reset(in);
-		return GD_PART_MORE;
+		return HT_PART_MORE;
 	}
 	/* What follows the answer was moved behind the decoded bytes. */
 	memmove(in->ptr, in->ptr + len, rest);
 	in->len = rest;
-	return GD_PART_END;
+	return HT_PART_END;
 }
 
-void gd_response_reset(struct gd_response *response)
+void ht_response_reset(struct ht_response *response)
 {
 	if (response->in.cap > BUFFER_KEPT)
 		gb_buf_free(&response->in);
@@ -180,26 +174,34 @@
 	response->head_done = false;
 	response->head_size = 0;
 	response->chunked = false;
+	response->unframed = false;
 	response->left = 0;
-	response->chunks = (struct gd_chunks){ 0 };
+	response->chunks = (struct ht_chunks){ 0 };
 }
 
-void gd_response_feed(struct gd_response *response, struct gb_str bytes)
+void ht_response_feed(struct ht_response *response, struct gb_str bytes)
 {
 	gb_buf_add(&response->in, bytes);
 }
 
-enum gd_part gd_response_next(struct gd_response *response, struct gb_buf *body)
+enum ht_part ht_response_next(struct ht_response *response, struct gb_buf *body)
 {
 	if (!response->head_done)
 		return parse_head(response);
 	consume(&response->in, response->head_size);
 	response->head_size = 0;
+	if (response->unframed)
+		return take_all(response, body);
 	return response->chunked ? take_chunks(response, body)
 				 : take_length(response, body);
 }
 
-void gd_response_free(struct gd_response *response)
+bool ht_response_ends_here(const struct ht_response *response)
+{
+	return response->head_done && response->unframed;
+}
+
+void ht_response_free(struct ht_response *response)
 {
 	gb_buf_free(&response->in);
 }
--- /dev/null
+++ b/packages/http/ht-server.c
@@ -0,0 +1,364 @@
+#include "http/ht-server.h"
+
+#include <string.h>
+
+/* Unread bytes of a connection whose exchange runs; then reading stops. */
+#define PIPELINE_MAX (64 * 1024)
+
+#define BACKLOG 512
+
+/* From the first byte of a request to the end of its body. */
+#define BODY_TIMEOUT (30 * GB_SEC)
+
+struct ht_conn {
+	struct ht_server *server;
+	uv_tcp_t tcp;
+	GList link; /* in server->conns */
+	struct ht_reader reader;
+	struct ht_exchange *running;
+	bool reading;
+	bool closed;
+	bool dispatching; /* inside next_request() */
+	bool answered; /* at least one request */
+	gb_time since; /* start of the idle time or of an incomplete request */
+};
+
+/* An answer that did not fit into the socket at once. */
+struct write {
+	uv_write_t req;
+	struct ht_conn *conn;
+	struct gb_buf bytes;
+	bool last;
+};
+
+static void next_request(struct ht_conn *conn);
+
+/* All reads use one buffer, since each is consumed in its call-back. */
+static char read_buffer[64 * 1024];
+
+gb_time ht_now(void)
+{
+	return (gb_time)(uv_hrtime() / 1000) * GB_USEC;
+}
+
+int ht_address(struct gb_str text, struct sockaddr_storage *addr)
+{
+	struct gb_str host, port;
+	int64_t number;
+	char *name;
+	int ret;
+
+	if (!gb_str_cut_last(text, ':', &host, &port) ||
+	    gb_str_to_int(port, 0, 65535, &number))
+		return -1;
+	memset(addr, 0, sizeof(*addr));
+	name = gb_str_to_c(host);
+	ret = uv_ip4_addr(name, number, (struct sockaddr_in *)addr);
+	if (ret)
+		ret = uv_ip6_addr(name, number, (struct sockaddr_in6 *)addr);
+	g_free(name);
+	return ret ? -1 : 0;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	struct ht_conn *conn = handle->data;
+
+	ht_reader_free(&conn->reader);
+	g_free(conn);
+}
+
+static void free_exchange(struct ht_exchange *x)
+{
+	ht_request_clear(&x->request);
+	g_free(x);
+}
+
+/* Closes the connection; a running exchange learns that its caller is gone. */
+static void close_conn(struct ht_conn *conn)
+{
+	struct ht_exchange *x = conn->running;
+
+	if (conn->closed)
+		return;
+	conn->closed = true;
+	conn->running = NULL;
+	g_queue_unlink(&conn->server->conns, &conn->link);
+	uv_close((uv_handle_t *)&conn->tcp, on_closed);
+	if (!x)
+		return;
+	conn->server->ops->gone(conn->server->ctx, x);
+	free_exchange(x);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)size;
+	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void stop_reading(struct ht_conn *conn)
+{
+	if (!conn->reading)
+		return;
+	conn->reading = false;
+	uv_read_stop((uv_stream_t *)&conn->tcp);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	struct ht_conn *conn = stream->data;
+
+	if (!len)
+		return;
+	if (len < 0) {
+		close_conn(conn);
+		return;
+	}
+	if (!conn->reader.in.len && !conn->running)
+		conn->since = ht_now();
+	gb_buf_add(&conn->reader.in, (struct gb_str){ buf->base, len });
+	if (!conn->running)
+		next_request(conn);
+	else if (conn->reader.in.len > PIPELINE_MAX)
+		stop_reading(conn);
+}
+
+static void start_reading(struct ht_conn *conn)
+{
+	if (conn->reading || conn->closed)
+		return;
+	conn->reading = true;
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+static void on_written(uv_write_t *req, int status)
+{
+	struct write *write = (struct write *)req;
+	struct ht_conn *conn = write->conn;
+	bool last = write->last;
+
+	gb_buf_free(&write->bytes);
+	g_free(write);
+	if (conn->closed)
+		return;
+	if (status || last)
+		close_conn(conn);
+}
+
+/* Sends bytes, at once if the socket takes them; takes over the buffer. */
+static void send_bytes(struct ht_conn *conn, struct gb_buf *bytes, bool last)
+{
+	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
+	uv_buf_t buf = uv_buf_init(bytes->ptr, bytes->len);
+	int len = uv_try_write(stream, &buf, 1);
+	struct write *write;
+
+	if (len == UV_EAGAIN)
+		len = 0;
+	if (len < 0 || (size_t)len == bytes->len) {
+		gb_buf_free(bytes);
+		if (len < 0 || last)
+			close_conn(conn);
+		return;
+	}
+	write = g_new0(struct write, 1);
+	write->conn = conn;
+	write->bytes = *bytes;
+	write->last = last;
+	buf = uv_buf_init(bytes->ptr + len, bytes->len - len);
+	if (uv_write(&write->req, stream, &buf, 1, on_written)) {
+		gb_buf_free(&write->bytes);
+		g_free(write);
+		close_conn(conn);
+	}
+}
+
+static void encode_reply(const struct ht_reply *reply, bool close,
+			 struct gb_buf *out)
+{
+	struct gb_str reason = ht_status_name(reply->status);
+
+	gb_buf_addf(out, "HTTP/1.1 %d %.*s\r\nContent-Length: %zu\r\n",
+		    reply->status, (int)reason.len, reason.ptr,
+		    reply->body.len);
+	gb_buf_add(out, reply->fields);
+	if (close)
+		gb_buf_add(out, GB_STR("Connection: close\r\n"));
+	gb_buf_add(out, GB_STR("\r\n"));
+	gb_buf_add(out, reply->body);
+}
+
+void ht_reply(struct ht_exchange *x, const struct ht_reply *reply)
+{
+	struct ht_conn *conn = x->conn;
+	bool close = !x->request.keep || conn->server->closing;
+	struct gb_buf bytes = GB_BUF_INIT;
+
+	conn->running = NULL;
+	conn->answered = true;
+	conn->since = ht_now();
+	encode_reply(reply, close, &bytes);
+	free_exchange(x);
+	send_bytes(conn, &bytes, close);
+	if (conn->closed || close)
+		return;
+	start_reading(conn);
+	if (conn->reader.in.len && !conn->dispatching)
+		next_request(conn);
+}
+
+/* Refuses bytes that are no acceptable request, and ends the connection. */
+static void refuse(struct ht_conn *conn, int status)
+{
+	const struct ht_reply reply = { .status = status };
+	struct gb_buf bytes = GB_BUF_INIT;
+
+	conn->server->ops->bad(conn->server->ctx, status);
+	stop_reading(conn);
+	encode_reply(&reply, true, &bytes);
+	send_bytes(conn, &bytes, true);
+}
+
+static int refusal(enum ht_read read)
+{
+	if (read == HT_READ_HEAD_TOO_LARGE)
+		return 431;
+	return read == HT_READ_BODY_TOO_LARGE ? 413 : 400;
+}
+
+static void send_continue(struct ht_conn *conn)
+{
+	struct gb_buf bytes = GB_BUF_INIT;
+
+	gb_buf_add(&bytes, GB_STR("HTTP/1.1 100 Continue\r\n\r\n"));
+	send_bytes(conn, &bytes, false);
+}
+
+/* Starts the next request if it is whole. */
+static enum ht_read try_request(struct ht_conn *conn)
+{
+	struct ht_server *server = conn->server;
+	struct ht_exchange *x = g_new(struct ht_exchange, 1);
+	enum ht_read read;
+
+	x->request.head = GB_BUF_INIT;
+	x->request.body = GB_BUF_INIT;
+	read = ht_reader_next(&conn->reader, server->limits.head_max,
+			      server->limits.body_max, &x->request);
+	if (read != HT_READ_REQUEST) {
+		g_free(x);
+		return read;
+	}
+	x->conn = conn;
+	x->data = NULL;
+	x->received = ht_now();
+	conn->running = x;
+	server->ops->request(server->ctx, x);
+	return read;
+}
+
+/* Reads requests until one is running or bytes are missing. */
+static void next_request(struct ht_conn *conn)
+{
+	enum ht_read read = HT_READ_REQUEST;
+
+	conn->dispatching = true;
+	while (!conn->closed && !conn->running && conn->reader.in.len &&
+	       read == HT_READ_REQUEST)
+		read = try_request(conn);
+	conn->dispatching = false;
+	if (conn->closed || read == HT_READ_REQUEST || read == HT_READ_MORE)
+		return;
+	if (read == HT_READ_CONTINUE)
+		send_continue(conn);
+	else
+		refuse(conn, refusal(read));
+}
+
+static void on_connection(uv_stream_t *stream, int status)
+{
+	struct ht_server *server = stream->data;
+	struct ht_conn *conn;
+
+	if (status)
+		return;
+	conn = g_new0(struct ht_conn, 1);
+	conn->server = server;
+	conn->link.data = conn;
+	conn->since = ht_now();
+	uv_tcp_init(server->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	g_queue_push_tail_link(&server->conns, &conn->link);
+	if (uv_accept(stream, (uv_stream_t *)&conn->tcp)) {
+		close_conn(conn);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	start_reading(conn);
+}
+
+int ht_server_start(struct ht_server *server, uv_loop_t *loop,
+		    struct gb_str address, const struct ht_server_ops *ops,
+		    void *ctx)
+{
+	struct sockaddr_storage addr;
+	int ret;
+
+	server->loop = loop;
+	server->ops = ops;
+	server->ctx = ctx;
+	g_queue_init(&server->conns);
+	if (ht_address(address, &addr))
+		return UV_EINVAL;
+	uv_tcp_init(loop, &server->listener);
+	server->listener.data = server;
+	ret = uv_tcp_bind(&server->listener, (struct sockaddr *)&addr, 0);
+	if (ret)
+		return ret;
+	return uv_listen((uv_stream_t *)&server->listener, BACKLOG,
+			 on_connection);
+}
+
+/* A caller that sent a part of a head gets 408, a silent one nothing. */
+static void expire(struct ht_conn *conn, gb_time now)
+{
+	const struct ht_limits *limits = &conn->server->limits;
+	gb_time age = now - conn->since;
+
+	if (conn->running)
+		return;
+	if (conn->reader.in.len) {
+		/* The reader counts parsed bytes while the head is incomplete.
+		 */
+		if (age >
+		    (conn->reader.parsed ? limits->head_timeout : BODY_TIMEOUT))
+			refuse(conn, 408);
+	} else if (age > limits->idle_timeout) {
+		close_conn(conn);
+	}
+}
+
+void ht_server_sweep(struct ht_server *server, gb_time now)
+{
+	GList *next;
+
+	for (GList *at = server->conns.head; at; at = next) {
+		next = at->next;
+		expire(at->data, now);
+	}
+}
+
+void ht_server_close_idle(struct ht_server *server)
+{
+	GList *next;
+
+	for (GList *at = server->conns.head; at; at = next) {
+		struct ht_conn *conn = at->data;
+
+		next = at->next;
+		if (!conn->running && !conn->reader.in.len)
+			close_conn(conn);
+	}
+}
--- a/packages/daemon/tests/response-test.c
+++ b/packages/http/tests/response-test.c
@@ -1,10 +1,10 @@
-#include "daemon/gd-response.h"
+#include "http/ht-response.h"
 #include "script/scr.h"
 
 #include <glib.h>
 
 struct ctx {
-	struct gd_response response;
+	struct ht_response response;
 	struct gb_buf body;
 };
 
@@ -18,7 +18,7 @@
 		      struct gb_buf *out);
 static void decode(struct gb_str text, struct gb_buf *bytes);
 static bool read_parts(struct ctx *ctx, struct gb_buf *out);
-static void put_head(const struct gd_response *response, struct gb_buf *out);
+static void put_head(const struct ht_response *response, struct gb_buf *out);
 
 static const struct scr_command commands[] = {
 	{ GB_STR_INIT("feed"), cmd_feed },
@@ -35,7 +35,7 @@
 {
 	struct ctx *ctx = data;
 
-	gd_response_free(&ctx->response);
+	ht_response_free(&ctx->response);
 	gb_buf_free(&ctx->body);
 	g_free(ctx);
 }
@@ -52,11 +52,11 @@
 	}
 }
 
-static void put_head(const struct gd_response *response, struct gb_buf *out)
+static void put_head(const struct ht_response *response, struct gb_buf *out)
 {
 	gb_buf_addf(out, "head %d", response->status);
 	for (size_t i = 0; i < response->fields_len; i++) {
-		const struct gd_field *f = &response->fields[i];
+		const struct ht_field *f = &response->fields[i];
 
 		gb_buf_addf(out, " %.*s=%.*s", (int)f->name.len, f->name.ptr,
 			    (int)f->value.len, f->value.ptr);
@@ -68,18 +68,18 @@
 static bool read_parts(struct ctx *ctx, struct gb_buf *out)
 {
 	for (;;) {
-		switch (gd_response_next(&ctx->response, &ctx->body)) {
-		case GD_PART_MORE:
+		switch (ht_response_next(&ctx->response, &ctx->body)) {
+		case HT_PART_MORE:
 			return true;
-		case GD_PART_HEAD:
+		case HT_PART_HEAD:
 			put_head(&ctx->response, out);
 			break;
-		case GD_PART_END:
+		case HT_PART_END:
 			gb_buf_addf(out, "end \"%.*s\" keep=%d surplus=%zu\n",
 				    (int)ctx->body.len, ctx->body.ptr,
 				    ctx->response.keep, ctx->response.in.len);
 			return false;
-		case GD_PART_BAD:
+		case HT_PART_BAD:
 			gb_buf_add(out, GB_STR("bad\n"));
 			return false;
 		}
@@ -93,7 +93,7 @@
 	struct gb_buf bytes = GB_BUF_INIT;
 
 	decode(scr_word(args, 0), &bytes);
-	gd_response_feed(&ctx->response, gb_buf_str(&bytes));
+	ht_response_feed(&ctx->response, gb_buf_str(&bytes));
 	if (read_parts(ctx, out))
 		gb_buf_add(out, GB_STR("more\n"));
 	gb_buf_free(&bytes);
@@ -109,7 +109,7 @@
 
 	decode(scr_word(args, 0), &bytes);
 	for (size_t i = 0; more && i < bytes.len; i++) {
-		gd_response_feed(&ctx->response,
+		ht_response_feed(&ctx->response,
 				 gb_str_sub(gb_buf_str(&bytes), i, 1));
 		more = read_parts(ctx, out);
 	}
@@ -125,7 +125,7 @@
 
 	(void)args;
 	(void)out;
-	gd_response_reset(&ctx->response);
+	ht_response_reset(&ctx->response);
 	gb_buf_reset(&ctx->body);
 }
 
@@ -133,7 +133,7 @@
 {
 	const struct scr_suite suite = {
 		.name = "response",
-		.folder = "packages/daemon/tests",
+		.folder = "packages/http/tests",
 		.commands = commands,
 		.commands_len = G_N_ELEMENTS(commands),
 		.open = open_ctx,
--- a/packages/settings/set-option.h
+++ b/packages/settings/set-option.h
@@ -23,11 +23,15 @@
 			struct set_settings *settings);
 };
 
+/* Roles of a VM; an option may be required for some of them only. */
+#define SET_ENTRY (1u << 0)
+#define SET_FRONT (1u << 1)
+
 struct set_option {
 	struct gb_str section;
 	struct gb_str key;
 	const struct set_type *type;
-	bool required;
+	unsigned int required; /* roles that must set it */
 	struct gb_str def; /* text of the default; unused if required */
 	int64_t min;
 	int64_t max;
@@ -47,6 +51,11 @@
 extern const struct set_type set_type_address;
 extern const struct set_type set_type_seeds;
 extern const struct set_type set_type_severity;
+extern const struct set_type set_type_real; /* a number with a fraction */
+extern const struct set_type set_type_real_ms;
+extern const struct set_type set_type_real_s;
+extern const struct set_type set_type_endpoint; /* "ADDRESS:PORT" */
+extern const struct set_type set_type_endpoints; /* with commas */
 
 const struct set_option *set_options(size_t *len);
 
--- a/packages/settings/set-read.c
+++ b/packages/settings/set-read.c
@@ -56,6 +56,7 @@
 static void check_cross(struct reader *reader);
 static void drop_own_seed(struct set_settings *settings);
 static void set_identity(struct set_settings *settings);
+static void set_front(struct set_settings *settings);
 static void parse(struct reader *reader);
 
 static const struct cross_rule cross_rules[] = {
@@ -275,9 +276,13 @@
 	const struct set_option *options;
 	size_t len;
 
+	unsigned int role = SET_ENTRY;
+
+	if (gb_str_eq(reader->settings->role, GB_STR("front")))
+		role = SET_FRONT;
 	options = set_options(&len);
 	for (size_t i = 0; i < len; i++)
-		if (options[i].required && !reader->seen[i])
+		if ((options[i].required & role) && !reader->seen[i])
 			option_problem(reader, i, GB_ERR_MISSING, 0,
 				       GB_STR(""));
 }
@@ -381,6 +386,14 @@
 	node->http_port = settings->http_port;
 }
 
+/* Both roles have a name, a data centre and a log. */
+static void set_front(struct set_settings *settings)
+{
+	settings->front.name = settings->name;
+	settings->front.dc = settings->node.dc;
+	settings->front.log_severity = settings->log_severity;
+}
+
 /*
  * Runs libinih over the text. Its buffer is on the stack with 200 bytes by
  * default, too little for a list of seeds; an indented line would continue the
@@ -411,6 +424,7 @@
 	check_cross(&reader);
 	drop_own_seed(settings);
 	set_identity(settings);
+	set_front(settings);
 	return problems->list->len ? -1 : 0;
 }
 
--- /dev/null
+++ b/packages/settings/set-type-front.c
@@ -0,0 +1,147 @@
+#include "settings/set-address.h"
+#include "settings/set-option.h"
+
+#include <inttypes.h>
+
+#define TARGET(type, option, settings) \
+	((type *)((char *)(settings) + (option)->offset))
+
+static enum gb_code read_real(const struct set_option *option,
+			      struct gb_str value, double *out)
+{
+	if (!gb_str_to_double(value, option->min, option->max, out))
+		return GB_OK;
+	if (!gb_str_to_double(value, -1e300, 1e300, out))
+		return GB_ERR_OUT_OF_RANGE;
+	return GB_ERR_WRONG_TYPE;
+}
+
+static enum gb_code parse_real(const struct set_option *option,
+			       struct gb_str value,
+			       struct set_settings *settings)
+{
+	double number;
+	enum gb_code code = read_real(option, value, &number);
+
+	if (code == GB_OK)
+		*TARGET(double, option, settings) = number;
+	return code;
+}
+
+static enum gb_code read_time(const struct set_option *option,
+			      struct gb_str value, gb_time unit,
+			      struct set_settings *settings)
+{
+	double number;
+	enum gb_code code = read_real(option, value, &number);
+
+	if (code == GB_OK)
+		*TARGET(gb_time, option, settings) = number * unit;
+	return code;
+}
+
+static enum gb_code parse_real_ms(const struct set_option *option,
+				  struct gb_str value,
+				  struct set_settings *settings)
+{
+	return read_time(option, value, GB_MSEC, settings);
+}
+
+static enum gb_code parse_real_s(const struct set_option *option,
+				 struct gb_str value,
+				 struct set_settings *settings)
+{
+	return read_time(option, value, GB_SEC, settings);
+}
+
+static void allowed_real(const struct set_option *option, struct gb_buf *out)
+{
+	gb_buf_addf(out, "%" PRId64 " to %" PRId64 ", also with a fraction",
+		    option->min, option->max);
+}
+
+static void allowed_real_ms(const struct set_option *option, struct gb_buf *out)
+{
+	gb_buf_addf(out, "%" PRId64 " to %" PRId64 " milliseconds", option->min,
+		    option->max);
+}
+
+static void allowed_real_s(const struct set_option *option, struct gb_buf *out)
+{
+	gb_buf_addf(out, "%" PRId64 " to %" PRId64 " seconds", option->min,
+		    option->max);
+}
+
+static void release_text(const struct set_option *option,
+			 struct set_settings *settings)
+{
+	gb_str_free(TARGET(struct gb_str, option, settings));
+}
+
+static void replace(const struct set_option *option, struct gb_str value,
+		    struct set_settings *settings)
+{
+	release_text(option, settings);
+	*TARGET(struct gb_str, option, settings) = gb_str_dup(value);
+}
+
+static bool is_endpoint(struct gb_str value)
+{
+	struct gb_str host;
+	uint16_t port;
+
+	return !set_host_port(value, &host, &port);
+}
+
+/* An option that need not be set may be empty. */
+static enum gb_code parse_endpoint(const struct set_option *option,
+				   struct gb_str value,
+				   struct set_settings *settings)
+{
+	if (value.len ? !is_endpoint(value) : option->required != 0)
+		return GB_ERR_WRONG_TYPE;
+	replace(option, value, settings);
+	return GB_OK;
+}
+
+static enum gb_code parse_endpoints(const struct set_option *option,
+				    struct gb_str value,
+				    struct set_settings *settings)
+{
+	struct gb_str rest = value, item;
+
+	while (rest.len) {
+		gb_str_cut(&rest, ',', &item);
+		if (!is_endpoint(gb_str_trim(item)))
+			return GB_ERR_WRONG_TYPE;
+	}
+	replace(option, value, settings);
+	return GB_OK;
+}
+
+static void allowed_endpoint(const struct set_option *option,
+			     struct gb_buf *out)
+{
+	(void)option;
+	gb_buf_add(out, GB_STR("HOST:PORT, HOST as numbers"));
+}
+
+static void allowed_endpoints(const struct set_option *option,
+			      struct gb_buf *out)
+{
+	(void)option;
+	gb_buf_add(out, GB_STR("HOST:PORT with commas, HOST as numbers"));
+}
+
+const struct set_type set_type_real = { .parse = parse_real,
+					.allowed = allowed_real };
+const struct set_type set_type_real_ms = { .parse = parse_real_ms,
+					   .allowed = allowed_real_ms };
+const struct set_type set_type_real_s = { .parse = parse_real_s,
+					  .allowed = allowed_real_s };
+const struct set_type set_type_endpoint = { .parse = parse_endpoint,
+					    .allowed = allowed_endpoint,
+					    .release = release_text };
+const struct set_type set_type_endpoints = { .parse = parse_endpoints,
+					     .allowed = allowed_endpoints,
+					     .release = release_text };
--- a/packages/settings/set.h
+++ b/packages/settings/set.h
@@ -12,6 +12,7 @@
  */
 
 #include "base/gb.h"
+#include "front/fr.h"
 #include "node/nd.h"
 
 struct set_peer {
@@ -23,7 +24,7 @@
 struct set_settings {
 	struct nd_settings node; /* incarnation and seed come from the shell */
 	struct gb_str name; /* of this VM */
-	struct gb_str role; /* "entry" */
+	struct gb_str role; /* "entry" or "front" */
 	struct gb_str host; /* address to listen on */
 	uint16_t peer_port;
 	uint16_t http_port;
@@ -35,6 +36,7 @@
 	gb_time http_idle; /* until an idle connection is closed */
 	size_t events_kept;
 	int log_severity; /* highest enum ev_severity that is printed */
+	struct fr_settings front; /* of a VM with role "front" */
 };
 
 /* One fault of a settings file. */
--- /dev/null
+++ b/packages/wire/wire-member.c
@@ -0,0 +1,50 @@
+#include "wire/wire-member.h"
+#include "wire/wire-row.h"
+
+/* Tells these datagrams from others on the port. */
+#define MAGIC 0x67626d31
+
+static bool_t xdr_row(XDR *xdrs, struct mem_row *row)
+{
+	char *address = row->address;
+
+	return xdr_bytes(xdrs, &address, &row->address_len, MEM_ADDRESS_MAX) &&
+	       wire_xdr_u64(xdrs, &row->incarnation) &&
+	       wire_xdr_u64(xdrs, &row->beat);
+}
+
+static bool_t xdr_message(XDR *xdrs, struct mem_message *message)
+{
+	uint32_t magic = MAGIC;
+
+	if (!wire_xdr_u32(xdrs, &magic) || magic != MAGIC ||
+	    !wire_xdr_u32(xdrs, &message->len) || message->len > MEM_ROWS_MAX)
+		return FALSE;
+	for (uint32_t i = 0; i < message->len; i++)
+		if (!xdr_row(xdrs, &message->rows[i]))
+			return FALSE;
+	return TRUE;
+}
+
+void wire_member_encode(const struct mem_message *message, struct gb_buf *out)
+{
+	char bytes[WIRE_MEMBER_MAX];
+	struct mem_message copy = *message;
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, bytes, sizeof(bytes), XDR_ENCODE);
+	if (xdr_message(&xdrs, &copy))
+		gb_buf_add(out, (struct gb_str){ bytes, xdr_getpos(&xdrs) });
+	xdr_destroy(&xdrs);
+}
+
+int wire_member_decode(struct gb_str bytes, struct mem_message *message)
+{
+	XDR xdrs;
+	int ret;
+
+	xdrmem_create(&xdrs, (char *)bytes.ptr, bytes.len, XDR_DECODE);
+	ret = xdr_message(&xdrs, message) ? 0 : -1;
+	xdr_destroy(&xdrs);
+	return ret;
+}
