Do not take a reset answer without a length for a whole one

Cause: libuv reports UV_EOF, not ECONNRESET, when a reset is seen together with the last bytes, so an answer that ends with its connection looked whole. Change: at the end of such an answer the socket itself is asked.

--- a/packages/http/ht-client.c
+++ b/packages/http/ht-client.c
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #define ANSWER_MAX (8 * 1024 * 1024)
 
@@ -281,6 +282,20 @@
 	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+/*
+ * libuv reports the end of the stream for a reset that it sees together with
+ * the last bytes, so the socket itself is asked.
+ */
+static bool was_reset(const struct ht_link *link)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd))
+		return true;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
 	struct ht_link *link = stream->data;
@@ -292,7 +307,7 @@
 		return;
 	}
 	if (len == UV_EOF && ht_response_ends_here(&link->response) &&
-	    !link->skipping) {
+	    !link->skipping && !was_reset(link)) {
 		finish(link);
 		return;
 	}
--- /dev/null
+++ b/packages/http/tests/client-test.c
@@ -0,0 +1,168 @@
+#include "http/ht-client.h"
+#include "http/ht-server.h"
+#include "script/scr.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * One call at a time over a real loopback connection to a server that the
+ * script plays. What the server does is done before the loop runs again, so
+ * that its bytes and the end of its connection arrive together.
+ */
+struct ctx {
+	uv_loop_t loop;
+	int listener;
+	int peer; /* the server's end; -1 for none */
+	struct ht_target *target;
+	struct ht_call call;
+	bool running;
+	struct gb_buf *out;
+};
+
+static bool on_encode(struct ht_call *call, struct gb_buf *out)
+{
+	(void)call;
+	gb_buf_add(out, GB_STR("GET / HTTP/1.1\r\n\r\n"));
+	return true;
+}
+
+static enum ht_verdict on_head(struct ht_call *call,
+			       const struct ht_response *head)
+{
+	(void)call;
+	return head->status == 299 ? HT_SKIP : HT_TAKE;
+}
+
+static void on_done(struct ht_call *call, enum ht_outcome outcome)
+{
+	static const char *const names[] = { "answered", "not_sent", "lost",
+					     "garbled" };
+	struct ctx *ctx =
+		(struct ctx *)((char *)call - offsetof(struct ctx, call));
+
+	ctx->running = false;
+	gb_buf_addf(ctx->out, "%s \"%.*s\" reused=%d\n", names[outcome],
+		    (int)call->body.len, call->body.ptr, call->reused);
+	gb_buf_free(&call->body);
+}
+
+static const struct ht_call_ops call_ops = {
+	.encode = on_encode,
+	.head = on_head,
+	.done = on_done,
+};
+
+static void *open_ctx(void)
+{
+	struct ctx *ctx = g_new0(struct ctx, 1);
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	socklen_t len = sizeof(addr);
+	char text[32];
+
+	uv_loop_init(&ctx->loop);
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ctx->listener = socket(AF_INET, SOCK_STREAM, 0);
+	ctx->peer = -1;
+	g_assert(!bind(ctx->listener, (struct sockaddr *)&addr, len));
+	g_assert(!listen(ctx->listener, 8));
+	getsockname(ctx->listener, (struct sockaddr *)&addr, &len);
+	snprintf(text, sizeof(text), "127.0.0.1:%d", ntohs(addr.sin_port));
+	ctx->target = ht_target_new(&ctx->loop, gb_str_from_c(text), 1);
+	return ctx;
+}
+
+static void close_ctx(void *data)
+{
+	struct ctx *ctx = data;
+
+	if (ctx->running)
+		ht_call_cancel(&ctx->call);
+	ht_target_free(ctx->target);
+	uv_run(&ctx->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&ctx->loop);
+	if (ctx->peer >= 0)
+		close(ctx->peer);
+	close(ctx->listener);
+	g_free(ctx);
+}
+
+/* Starts a call and lets its request reach the server. */
+static void cmd_call(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	char bytes[256];
+
+	(void)args;
+	ctx->out = out;
+	ctx->running = true;
+	ht_call_start(&ctx->call, ctx->target, &call_ops);
+	uv_run(&ctx->loop, UV_RUN_NOWAIT);
+	if (ctx->peer < 0)
+		ctx->peer = accept(ctx->listener, NULL, NULL);
+	while (!ctx->call.sent)
+		uv_run(&ctx->loop, UV_RUN_ONCE);
+	g_assert(recv(ctx->peer, bytes, sizeof(bytes), 0) > 0);
+}
+
+static void end_peer(struct ctx *ctx, bool reset)
+{
+	const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	if (reset)
+		setsockopt(ctx->peer, SOL_SOCKET, SO_LINGER, &linger,
+			   sizeof(linger));
+	close(ctx->peer);
+	ctx->peer = -1;
+}
+
+/* Sends bytes ('|' is an end of line, '_' a space), and ends as told. */
+static void cmd_answer(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct gb_str text = scr_word(args, 0);
+	struct gb_str end = scr_str(args, GB_STR("end"), GB_STR(""));
+	struct gb_buf bytes = GB_BUF_INIT;
+	struct ctx *ctx = data;
+
+	ctx->out = out;
+	for (size_t i = 0; i < text.len; i++) {
+		if (text.ptr[i] == '|')
+			gb_buf_add(&bytes, GB_STR("\r\n"));
+		else
+			gb_buf_addc(&bytes,
+				    text.ptr[i] == '_' ? ' ' : text.ptr[i]);
+	}
+	g_assert(send(ctx->peer, bytes.ptr, bytes.len, MSG_NOSIGNAL) ==
+		 (ssize_t)bytes.len);
+	gb_buf_free(&bytes);
+	if (end.len)
+		end_peer(ctx, gb_str_eq(end, GB_STR("reset")));
+	for (int i = 0; i < 3; i++)
+		uv_run(&ctx->loop, UV_RUN_NOWAIT);
+	gb_buf_addf(out, "running=%d open=%u idle=%u\n", ctx->running,
+		    ctx->target->open, ctx->target->idle.length);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct scr_command commands[] = {
+		{ GB_STR_INIT("call"), cmd_call },
+		{ GB_STR_INIT("answer"), cmd_answer },
+	};
+	static const struct scr_suite suite = {
+		.name = "http-client",
+		.folder = "packages/http/tests/client",
+		.commands = commands,
+		.commands_len = G_N_ELEMENTS(commands),
+		.open = open_ctx,
+		.close = close_ctx,
+	};
+
+	return scr_main(argc, argv, &suite);
+}
--- a/packages/http/tests/response-test.c
+++ b/packages/http/tests/response-test.c
@@ -133,7 +133,7 @@
 {
 	const struct scr_suite suite = {
 		.name = "response",
-		.folder = "packages/http/tests",
+		.folder = "packages/http/tests/response",
 		.commands = commands,
 		.commands_len = G_N_ELEMENTS(commands),
 		.open = open_ctx,
