--- a/packages/settings/set-text.c
+++ b/packages/settings/set-text.c
@@ -65,8 +65,12 @@
 /* Appends "required" or the default, then the allowed values. */
 static void add_default(const struct set_option *option, struct gb_buf *out)
 {
-	if (option->required)
+	if (option->required == (SET_ENTRY | SET_FRONT))
 		gb_buf_add(out, GB_STR("Required"));
+	else if (option->required == SET_ENTRY)
+		gb_buf_add(out, GB_STR("Required for role entry"));
+	else if (option->required == SET_FRONT)
+		gb_buf_add(out, GB_STR("Required for role front"));
 	else if (option->def.len)
 		gb_buf_addf(out, "Default %.*s", (int)option->def.len,
 			    option->def.ptr);
