Leave a fan-out the aim less the caller's own round trips

Cause: the aim was cut at a fixed 82%, too late for a caller 3 ms away on a new connection (9 ms left of 50, 12 needed) and too early for one 1 ms away. Change: the round trip that the kernel measured in the handshake, twice for the first request of a connection, and 4 ms for merging and timers.

--- a/packages/forward/fw-request.c
+++ b/packages/forward/fw-request.c
@@ -1,24 +1,30 @@
 #include "forward/fw-internal.h"
 
-/*
- * Part of the aim after which a fan-out is answered with what is in; the rest
- * is left for the ways from and to the caller.
- */
-#define AIM_USED 0.82
+/* Merging, writing and late timers take some of the aim as well. */
+#define ANSWER_TIME (4 * GB_MSEC)
 
-/* An answer that leaves later does not reach the caller in time. */
-#define WAY_BACK (4 * GB_MSEC)
+/* Least part of the aim for which a fan-out waits for all of its parts. */
+#define AIM_USED_MIN 0.6
 
 static gb_time end_of(const struct rt_route *route, const struct fw_ask *ask)
 {
 	gb_time most = route->timeout ? route->timeout : GB_NEVER / 2;
 
+	/* An answer that leaves later does not reach the caller in time. */
 	if (ask->deadline)
-		most = MIN(most,
-			   MAX(ask->deadline - WAY_BACK, ask->deadline / 2));
+		most = MIN(most, MAX(ask->deadline - ask->way - ANSWER_TIME,
+				     ask->deadline / 2));
 	return ask->received + most;
 }
 
+/* When a fan-out is answered with what is in. */
+static gb_time aim_of(const struct rt_route *route, const struct fw_ask *ask)
+{
+	gb_time least = AIM_USED_MIN * route->aim;
+
+	return ask->received + MAX(route->aim - ask->way - ANSWER_TIME, least);
+}
+
 static void init_part(struct fw_part *part, struct fw_request *request,
 		      const struct rt_target *target)
 {
@@ -43,8 +49,7 @@
 	request->data = ask->data;
 	request->received = ask->received;
 	request->end = end_of(route, ask);
-	request->aim_at = route->aim ? ask->received + AIM_USED * route->aim
-				     : request->end;
+	request->aim_at = route->aim ? aim_of(route, ask) : request->end;
 	request->parts_len = route->fanout ? route->targets_len : 1;
 	request->parts = g_new0(struct fw_part, request->parts_len);
 	if (!route->fanout) {
--- a/packages/forward/fw.h
+++ b/packages/forward/fw.h
@@ -168,6 +168,7 @@
 	struct gb_str id;
 	gb_time received;
 	gb_time deadline; /* time that the caller waits; 0 if not given */
+	gb_time way; /* time on the network, there and back */
 	void *data;
 };
 
--- a/packages/front/fr-caller.c
+++ b/packages/front/fr-caller.c
@@ -81,6 +81,7 @@
 	const struct fw_ask forward = { .id = ask->id,
 					.received = x->received,
 					.deadline = ask->deadline,
+					.way = x->way,
 					.data = query };
 
 	query->fr = fr;
--- a/packages/http/ht-server.c
+++ b/packages/http/ht-server.c
@@ -1,5 +1,7 @@
 #include "http/ht-server.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 
 /* Unread bytes of a connection whose exchange runs; then reading stops. */
@@ -20,6 +22,7 @@
 	bool closed;
 	bool dispatching; /* inside next_request() */
 	bool answered; /* at least one request */
+	gb_time round_trip; /* as the kernel measured it in the handshake */
 	gb_time since; /* start of the idle time or of an incomplete request */
 };
 
@@ -254,6 +257,7 @@
 	x->conn = conn;
 	x->data = NULL;
 	x->received = ht_now();
+	x->way = conn->answered ? conn->round_trip : 2 * conn->round_trip;
 	conn->running = x;
 	server->ops->request(server->ctx, x);
 	return read;
@@ -277,6 +281,19 @@
 		refuse(conn, refusal(read));
 }
 
+/* Returns 0 where the kernel does not tell. */
+static gb_time read_round_trip(const struct ht_conn *conn)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) ||
+	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len))
+		return 0;
+	return info.tcpi_rtt * GB_USEC;
+}
+
 static void on_connection(uv_stream_t *stream, int status)
 {
 	struct ht_server *server = stream->data;
@@ -296,6 +313,7 @@
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
+	conn->round_trip = read_round_trip(conn);
 	start_reading(conn);
 }
 
--- a/packages/http/ht-server.h
+++ b/packages/http/ht-server.h
@@ -28,6 +28,7 @@
 	struct ht_request request;
 	struct ht_conn *conn;
 	gb_time received; /* when the request was whole */
+	gb_time way; /* round trips of the caller, with that of its connect */
 	void *data; /* of the user of the server */
 };
 
