Count only sends that left the VM, and ask the store less

Causes: a refused connect used up one of a part's four sends; watches were renewed each 3 s; a VM without any knowledge backed off up to 0.8 s.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -9,10 +9,13 @@
 #define BACKOFF_MAX (800 * GB_MSEC)
 #define DOUBLINGS_MAX 4
 
+/* A VM that knows nothing yet serves nobody, so it asks more often. */
+#define BACKOFF_UNSYNCED (150 * GB_MSEC)
+
 #define LIST_TIMEOUT (2 * GB_SEC)
 
 /* Above the time that the store may wait; a slow store answers later. */
-#define WATCH_MARGIN (1 * GB_SEC)
+#define WATCH_MARGIN (800 * GB_MSEC)
 
 void dir_init(struct dir_follower *follower)
 {
@@ -79,7 +82,8 @@
 	if (!follower->failing_since)
 		follower->failing_since = now;
 	follower->failures++;
-	follower->due = now + MIN(pause, BACKOFF_MAX);
+	pause = MIN(pause, follower->synced ? BACKOFF_MAX : BACKOFF_UNSYNCED);
+	follower->due = now + pause;
 }
 
 gb_time dir_timeout(const struct dir_follower *follower)
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -33,8 +33,11 @@
 	bool synced; /* all objects were read once */
 };
 
-/* Time that a wait for changes may take, at the store. */
-#define DIR_WAIT (3 * GB_SEC)
+/*
+ * Time that a wait for changes may take, at the store. A connection that has
+ * fallen silent is noticed when the wait should have ended.
+ */
+#define DIR_WAIT (5 * GB_SEC)
 
 void dir_init(struct dir_follower *follower);
 void dir_free(struct dir_follower *follower);
--- a/packages/forward/fw-part.c
+++ b/packages/forward/fw-part.c
@@ -180,6 +180,15 @@
 	fw_call_start(part, upstream, FW_RETRY, now);
 }
 
+/* A call that has not left this VM does not count among the part's sends. */
+static void drop_unsent(struct fw_part *part)
+{
+	const struct fw_call *last = &part->calls[part->calls_len - 1];
+
+	if (!last->running && last->outcome == FW_UNSENT)
+		part->calls_len--;
+}
+
 void fw_part_failed(struct fw_part *part, struct fw_call *call, gb_time now)
 {
 	static const char *const outcomes[] = {
@@ -200,6 +209,7 @@
 		fw_part_missing(part);
 		return;
 	}
+	drop_unsent(part);
 	fw_part_retry(part, now);
 }
 
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -6,6 +6,9 @@
 /* Connections to the store: one for each follower. */
 #define STORE_CONNS FR_KINDS
 
+/* The store is a few milliseconds away; a lost packet is sent anew sooner. */
+#define STORE_CONNECT_TIMEOUT (400 * GB_MSEC)
+
 static void on_timer(uv_timer_t *timer);
 
 /* Ties the routes and services of a version to what outlives it. */
@@ -301,6 +304,7 @@
 	fr->store = ht_target_new(fr->loop, fr->settings.store, STORE_CONNS);
 	if (!fr->store)
 		return UV_EINVAL;
+	fr->store->connect_timeout = STORE_CONNECT_TIMEOUT;
 	for (int kind = 0; kind < FR_KINDS; kind++) {
 		struct fr_follow *follow = &fr->follows[kind];
 
