Try an upstream again only after a pause; test the forwarding decisions

Causes: a part that both upstreams had refused went to the first one again at once, and one that had failed by itself was asked a third time; a Content-Length with a sign was accepted; a table of 40 members took 8 KB/s from each VM, over the 2 KB/s of the target; a list from a silent store was given up after 2 s. Changes: a second send to the same upstream waits for the pause of a retry and leaves out upstreams that answered; lengths are digits only; a datagram holds 9 members; a first list is given up after 0.6 s.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -12,7 +12,13 @@
 /* A VM that knows nothing yet serves nobody, so it asks more often. */
 #define BACKOFF_UNSYNCED (150 * GB_MSEC)
 
-#define LIST_TIMEOUT (2 * GB_SEC)
+/*
+ * A store that is down may take a request and never answer it, so the first
+ * tries are short; a slow store gets longer with each failure.
+ */
+#define LIST_TIMEOUT_MIN (600 * GB_MSEC)
+#define LIST_TIMEOUT_STEP (300 * GB_MSEC)
+#define LIST_TIMEOUT_MAX (2500 * GB_MSEC)
 
 /* Above the time that the store may wait; a slow store answers later. */
 #define WATCH_MARGIN (800 * GB_MSEC)
@@ -88,7 +94,10 @@
 
 gb_time dir_timeout(const struct dir_follower *follower)
 {
+	gb_time list =
+		LIST_TIMEOUT_MIN + follower->failures * LIST_TIMEOUT_STEP;
+
 	if (follower->step == DIR_LIST)
-		return LIST_TIMEOUT;
+		return MIN(list, LIST_TIMEOUT_MAX);
 	return DIR_WAIT + WATCH_MARGIN;
 }
--- /dev/null
+++ b/packages/directory/tests/directory-test.c
@@ -0,0 +1,100 @@
+#include "directory/dir.h"
+#include "script/scr.h"
+
+struct ctx {
+	struct dir_follower follower;
+};
+
+static void *open_ctx(void)
+{
+	struct ctx *ctx = g_new0(struct ctx, 1);
+
+	dir_init(&ctx->follower);
+	return ctx;
+}
+
+static void close_ctx(void *data)
+{
+	struct ctx *ctx = data;
+
+	dir_free(&ctx->follower);
+	g_free(ctx);
+}
+
+static gb_time at(const struct scr_args *args)
+{
+	return scr_int(args, GB_STR("at_ms"), 0) * GB_MSEC;
+}
+
+static void print(const struct ctx *ctx, struct gb_buf *out)
+{
+	const struct dir_follower *f = &ctx->follower;
+
+	if (f->step == DIR_LIST)
+		gb_buf_addf(out, "list after=\"%.*s\"", (int)f->after.len,
+			    f->after.ptr);
+	else
+		gb_buf_addf(out, "watch from=%lld", (long long)f->revision);
+	gb_buf_addf(out, " due_ms=%lld timeout_ms=%lld synced=%d\n",
+		    (long long)(f->due / GB_MSEC),
+		    (long long)(dir_timeout(f) / GB_MSEC), f->synced);
+}
+
+static void cmd_listed(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	dir_listed(&ctx->follower, at(args), scr_int(args, GB_STR("rev"), 0),
+		   scr_int(args, GB_STR("more"), 0),
+		   scr_str(args, GB_STR("last"), GB_STR("")));
+	print(ctx, out);
+}
+
+static void cmd_watched(void *data, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	dir_watched(&ctx->follower, at(args), scr_int(args, GB_STR("rev"), 0),
+		    scr_int(args, GB_STR("changes"), 0));
+	print(ctx, out);
+}
+
+static void cmd_lost(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	dir_history_lost(&ctx->follower, at(args));
+	print(ctx, out);
+}
+
+static void cmd_failed(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	dir_failed(&ctx->follower, at(args));
+	print(ctx, out);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct scr_command commands[] = {
+		{ GB_STR_INIT("listed"), cmd_listed },
+		{ GB_STR_INIT("watched"), cmd_watched },
+		{ GB_STR_INIT("history-lost"), cmd_lost },
+		{ GB_STR_INIT("failed"), cmd_failed },
+	};
+	static const struct scr_suite suite = {
+		.name = "directory",
+		.folder = "packages/directory/tests",
+		.commands = commands,
+		.commands_len = G_N_ELEMENTS(commands),
+		.open = open_ctx,
+		.close = close_ctx,
+	};
+
+	return scr_main(argc, argv, &suite);
+}
--- a/packages/forward/fw-internal.h
+++ b/packages/forward/fw-internal.h
@@ -29,7 +29,8 @@
 /* Sends a waiting part once more, for a failure or a late answer. */
 void fw_part_failed(struct fw_part *part, struct fw_call *call, gb_time now);
 void fw_part_hedge(struct fw_part *part, gb_time now);
-void fw_part_retry(struct fw_part *part, gb_time now);
+/* After a pause, an upstream that had the part may get it once more. */
+void fw_part_retry(struct fw_part *part, bool paused, gb_time now);
 void fw_part_missing(struct fw_part *part);
 gb_time fw_hedge_delay(const struct fw_part *part, gb_time now);
 
--- a/packages/forward/fw-part.c
+++ b/packages/forward/fw-part.c
@@ -15,6 +15,9 @@
 #define RETRY_MIN (5 * GB_MSEC)
 #define RETRY_MAX (50 * GB_MSEC)
 
+/* Upstreams of a service that are looked at for a second send to one. */
+#define FW_AGAIN_MAX 64
+
 gb_time fw_hedge_delay(const struct fw_part *part, gb_time now)
 {
 	const struct fw_request *request = part->request;
@@ -68,27 +71,43 @@
 		       wait);
 }
 
-/* An upstream that had the part before and does not run it now. */
+/* Tells whether the upstream could run the part after all. */
+static bool may_have_again(const struct fw_part *part,
+			   const struct fl_upstream *upstream)
+{
+	bool had = false;
+
+	for (uint32_t i = 0; i < part->calls_len; i++) {
+		const struct fw_call *call = &part->calls[i];
+
+		if (call->upstream != upstream)
+			continue;
+		/* Its own failure would only be repeated. */
+		if (call->running || call->outcome == FW_ANSWERED)
+			return false;
+		had = true;
+	}
+	return had;
+}
+
+/* An upstream that had the part before, and refused or lost it. */
 static struct fl_upstream *choose_again(struct fw_part *part, gb_time now,
 					gb_time *wait)
 {
-	const struct fl_upstream *running[FW_CALLS_MAX];
-	GPtrArray *all = part->service->upstreams;
+	const struct fl_upstream *others[FW_AGAIN_MAX];
 	struct fl_need need = { .usual = fw_usual(part->request),
-				.except = running };
-	struct fl_upstream *upstream;
+				.except = others };
+	GPtrArray *all = part->service->upstreams;
 
-	for (uint32_t i = 0; i < part->calls_len; i++)
-		if (part->calls[i].running)
-			running[need.except_len++] = part->calls[i].upstream;
-	upstream = fl_pick(part->request->engine->fleet, part->service, &need,
-			   now, wait);
-	if (!upstream || !all->len)
-		return NULL;
-	for (uint32_t i = 0; i < part->calls_len; i++)
-		if (part->calls[i].upstream == upstream)
-			return upstream;
-	return NULL;
+	for (guint i = 0; i < all->len; i++) {
+		if (may_have_again(part, all->pdata[i]))
+			continue;
+		if (need.except_len == FW_AGAIN_MAX)
+			return NULL;
+		others[need.except_len++] = all->pdata[i];
+	}
+	return fl_pick(part->request->engine->fleet, part->service, &need, now,
+		       wait);
 }
 
 struct fl_upstream *fw_choose(struct fw_part *part, bool spare, gb_time now,
@@ -97,9 +116,9 @@
 	uint32_t most = MAX(part->request->route->attempts_max, 1);
 
 	*wait = GB_NEVER;
-	if (upstreams_reached(part) < most)
-		return choose_new(part, spare, now, wait);
-	return spare ? NULL : choose_again(part, now, wait);
+	if (upstreams_reached(part) >= most)
+		return NULL;
+	return choose_new(part, spare, now, wait);
 }
 
 void fw_part_missing(struct fw_part *part)
@@ -116,6 +135,20 @@
 	return request->route->kind == RT_IDEMPOTENT || !request->may_have_run;
 }
 
+/* Tells whether an upstream may yet give the part a good answer. */
+static bool may_improve(const struct fw_part *part)
+{
+	GPtrArray *all = part->service->upstreams;
+
+	if (upstreams_reached(part) <
+	    MAX(part->request->route->attempts_max, 1))
+		return all->len > upstreams_reached(part);
+	for (guint i = 0; i < all->len; i++)
+		if (may_have_again(part, all->pdata[i]))
+			return true;
+	return false;
+}
+
 /* Waits for an upstream, if there is time left to use it. */
 static void retry_later(struct fw_part *part, gb_time wait, gb_time now)
 {
@@ -125,7 +158,7 @@
 
 	if (wait != GB_NEVER)
 		pause = MAX(pause, wait);
-	if (part->calls_len == FW_CALLS_MAX ||
+	if (part->calls_len == FW_CALLS_MAX || !may_improve(part) ||
 	    now + pause + usual > request->end) {
 		fw_part_missing(part);
 		return;
@@ -150,7 +183,7 @@
 	return false;
 }
 
-void fw_part_retry(struct fw_part *part, gb_time now)
+void fw_part_retry(struct fw_part *part, bool paused, gb_time now)
 {
 	struct fw_request *request = part->request;
 	struct fl_upstream *upstream;
@@ -162,6 +195,8 @@
 		return;
 	}
 	upstream = fw_choose(part, false, now, &wait);
+	if (!upstream && paused)
+		upstream = choose_again(part, now, &wait);
 	if (!upstream) {
 		retry_later(part, wait, now);
 		return;
@@ -210,7 +245,7 @@
 		return;
 	}
 	drop_unsent(part);
-	fw_part_retry(part, now);
+	fw_part_retry(part, false, now);
 }
 
 /* Marks the calls that are late, so that other requests avoid their upstream.
--- a/packages/forward/fw-request.c
+++ b/packages/forward/fw-request.c
@@ -113,7 +113,7 @@
 		if (part->state != FW_WAITING)
 			continue;
 		if (part->retry_at <= now)
-			fw_part_retry(part, now);
+			fw_part_retry(part, true, now);
 		else if (part->hedge_at <= now)
 			fw_part_hedge(part, now);
 	}
--- a/packages/front/fr-member.c
+++ b/packages/front/fr-member.c
@@ -6,7 +6,7 @@
  * Heartbeats travel through a few members at a time, so that one of a large
  * tier may need some intervals to reach all.
  */
-#define SILENT_AFTER (4 * GB_SEC)
+#define SILENT_AFTER (8 * GB_SEC)
 
 /* A VM that is cut off may still send, so it counts for longer. */
 #define COUNTED_FOR (20 * GB_SEC)
--- a/packages/http/ht-request.c
+++ b/packages/http/ht-request.c
@@ -29,6 +29,10 @@
 {
 	int64_t length;
 
+	/* A sign is no part of a length, though a number may have one. */
+	for (size_t i = 0; i < value.len; i++)
+		if (!g_ascii_isdigit(value.ptr[i]))
+			return -1;
 	if (gb_str_to_int(value, 0, INT64_MAX, &length))
 		return -1;
 	if (framing->has_length && framing->length != length)
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -18,7 +18,8 @@
 
 #include <glib.h>
 
-#define MEM_ROWS_MAX 64
+/* Members in one datagram: with three told twice a second, 2 KB/s from a VM. */
+#define MEM_ROWS_MAX 9
 #define MEM_ADDRESS_MAX 48
 
 /* What a datagram says of one member. */
--- a/packages/wire/wire-member.h
+++ b/packages/wire/wire-member.h
@@ -9,7 +9,7 @@
 #include "member/mem.h"
 
 /* Largest datagram: a header and MEM_ROWS_MAX rows. */
-#define WIRE_MEMBER_MAX 8192
+#define WIRE_MEMBER_MAX 1400
 
 /* Appends the encoded message. */
 void wire_member_encode(const struct mem_message *message, struct gb_buf *out);
