Let the failures of an upstream fade as its slowness does

Cause: an upstream that had failed was never tried again while another one had room, since only its own answers lowered its share of failures (packages/fleet/tests/grey.script, red before). Upstreams within 10% of each other now take turns.

--- a/packages/fleet/fl-score.c
+++ b/packages/fleet/fl-score.c
@@ -6,11 +6,18 @@
 #define SLOW_WEIGHT 0.3
 #define FAILURE_WEIGHT 0.2
 
+/* Times the usual time that a failed call costs, with the call that repeats it.
+ */
+#define FAILURE_COST 4
+
 /* A single sample counts as this much at most. */
 #define SLOW_SAMPLE_MAX 20.0
 
-/* An upstream that is not tried seems half as slow after this time. */
-#define SLOW_HALF_LIFE (2 * GB_SEC)
+/* An upstream that is not tried seems half as bad after this time. */
+#define HALF_LIFE (2 * GB_SEC)
+
+/* Part of the expected time by which two upstreams count as equal. */
+#define JITTER 0.1
 
 #define AVOID_MIN (30 * GB_MSEC)
 #define AVOID_MAX (600 * GB_MSEC)
@@ -21,11 +28,20 @@
 /* What an upstream reported of other VMs' calls holds for about this time. */
 #define REPORT_AGE_MAX (60 * GB_MSEC)
 
+/* The part of what was learned at a time that still counts. */
+static double faded(gb_time learned, gb_time now)
+{
+	return exp2(-(double)MAX(now - learned, 0) / HALF_LIFE);
+}
+
 double fl_slowness(const struct fl_upstream *upstream, gb_time now)
 {
-	double age = (double)(now - upstream->slow_at) / SLOW_HALF_LIFE;
+	return 1 + (upstream->slow - 1) * faded(upstream->slow_at, now);
+}
 
-	return 1 + (upstream->slow - 1) * exp2(-MAX(age, 0));
+static double failures(const struct fl_upstream *upstream, gb_time now)
+{
+	return upstream->failures * faded(upstream->failures_at, now);
 }
 
 static void add_slow_sample(struct fl_upstream *upstream, gb_time now,
@@ -38,9 +54,13 @@
 	upstream->slow_at = now;
 }
 
-static void add_failure(struct fl_upstream *upstream, double failed)
+static void add_failure(struct fl_upstream *upstream, gb_time now,
+			double failed)
 {
-	upstream->failures += FAILURE_WEIGHT * (failed - upstream->failures);
+	double before = failures(upstream, now);
+
+	upstream->failures = before + FAILURE_WEIGHT * (failed - before);
+	upstream->failures_at = now;
 }
 
 static gb_time doubled(gb_time first, uint32_t times, gb_time most)
@@ -56,23 +76,21 @@
 	upstream->unreachable = 0;
 	upstream->avoid_until = 0;
 	upstream->down_until = 0;
-	add_failure(upstream, 0);
+	add_failure(upstream, now, 0);
 	add_slow_sample(upstream, now, elapsed, usual);
 }
 
 void fl_refused(struct fl_upstream *upstream, gb_time now)
 {
-	(void)now;
 	upstream->in_flight--;
 	upstream->unreachable = 0;
-	add_failure(upstream, 1);
+	add_failure(upstream, now, 1);
 }
 
 void fl_failed(struct fl_upstream *upstream, gb_time now)
 {
-	(void)now;
 	upstream->in_flight--;
-	add_failure(upstream, 1);
+	add_failure(upstream, now, 1);
 }
 
 void fl_unreachable(struct fl_upstream *upstream, gb_time now)
@@ -140,9 +158,9 @@
 
 	if (!gb_str_eq(upstream->dc, fleet->settings.dc))
 		sum += fleet->settings.hop;
-	sum *= 1 + 4 * upstream->failures;
+	sum *= 1 + FAILURE_COST * failures(upstream, now);
 	/* Equal upstreams take turns. */
-	return sum * (1 + 0.05 * gb_rng_unit(fleet->rng));
+	return sum * (1 + JITTER * gb_rng_unit(fleet->rng));
 }
 
 static bool is_among(const struct fl_upstream *upstream,
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -13,7 +13,8 @@
  *	- slowness: the moving average of its times over the usual time of the
  *	  same kind of request; it fades, so that an upstream that is no longer
  *	  tried comes back;
- *	- failures: the moving share of calls that failed or were refused;
+ *	- failures: the moving share of calls that failed or were refused, which
+ *	  fades as well;
  *	- overdue calls: while a call is late, and for a while after one was
  *	  abandoned, others go elsewhere; the time doubles with each call that
  *	  is abandoned in a row, so that a silent upstream gets few requests;
@@ -68,6 +69,7 @@
 	double slow; /* average time over the usual time; 1 is usual */
 	gb_time slow_at;
 	double failures; /* 0 to 1 */
+	gb_time failures_at;
 	gb_time avoid_until; /* since a call is or was overdue */
 	uint32_t abandoned; /* calls in a row without an answer */
 	gb_time down_until; /* since it could not be reached */
--- /dev/null
+++ b/packages/fleet/tests/fleet-test.c
@@ -0,0 +1,285 @@
+#include "fleet/fl.h"
+#include "script/scr.h"
+
+/* Upstreams on a virtual clock, without jitter worth naming. */
+struct ctx {
+	gb_time now;
+	gb_time usual;
+	struct gb_rng rng;
+	struct fl_fleet *fleet;
+	uint32_t vms;
+	uint32_t rank;
+	struct gb_buf *out;
+};
+
+static void on_forget(void *data, struct fl_upstream *upstream)
+{
+	struct ctx *ctx = data;
+
+	if (ctx->out)
+		gb_buf_addf(ctx->out, "  forgets %.*s\n", (int)upstream->id.len,
+			    upstream->id.ptr);
+}
+
+static uint32_t vms(void *data)
+{
+	struct ctx *ctx = data;
+
+	return ctx->vms;
+}
+
+static uint32_t rank(void *data, uint64_t key)
+{
+	struct ctx *ctx = data;
+
+	(void)key;
+	return ctx->rank;
+}
+
+static void *open_ctx(void)
+{
+	static const struct fl_ops ops = { .forget = on_forget };
+	static const struct fl_share share = { .vms = vms, .rank = rank };
+	const struct fl_settings settings = { .dc = GB_STR_INIT("here"),
+					      .hop = 6 * GB_MSEC,
+					      .linger = 2 * GB_SEC,
+					      .cold_burst = 5 };
+	struct ctx *ctx = g_new0(struct ctx, 1);
+
+	ctx->now = GB_SEC;
+	ctx->usual = 10 * GB_MSEC;
+	ctx->vms = 1;
+	ctx->rng.state = 7;
+	ctx->fleet = fl_new(&settings, &ops, &share, ctx, &ctx->rng);
+	return ctx;
+}
+
+static void close_ctx(void *data)
+{
+	struct ctx *ctx = data;
+
+	ctx->out = NULL;
+	fl_free(ctx->fleet);
+	g_free(ctx);
+}
+
+/* put ID dc= born= leaving= cold_ms= address= */
+static void cmd_put(void *data, const struct scr_args *args, struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	const struct fl_entry entry = {
+		.id = scr_word(args, 0),
+		.service = GB_STR_INIT("s"),
+		.address =
+			scr_str(args, GB_STR("address"), GB_STR("10.0.0.1:80")),
+		.dc = scr_str(args, GB_STR("dc"), GB_STR("here")),
+		.slots = 2,
+		.leaving = scr_int(args, GB_STR("leaving"), 0),
+		.cold = scr_int(args, GB_STR("cold_ms"), 0) * GB_MSEC,
+		.born = scr_int(args, GB_STR("born"), 1),
+	};
+
+	ctx->out = out;
+	if (!fl_put(ctx->fleet, ctx->now, &entry))
+		gb_buf_add(out, GB_STR("  ignored\n"));
+}
+
+static void cmd_remove(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)out;
+	fl_remove(ctx->fleet, ctx->now, scr_word(args, 0));
+}
+
+static void cmd_list(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)out;
+	if (gb_str_eq(scr_word(args, 0), GB_STR("begin")))
+		fl_list_begin(ctx->fleet);
+	else
+		fl_list_end(ctx->fleet, ctx->now);
+}
+
+static void cmd_exclude(void *data, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)out;
+	fl_exclude(ctx->fleet, scr_word(args, 0),
+		   scr_int(args, GB_STR("on"), 1));
+}
+
+static void cmd_limits(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	struct fl_service *service = fl_service(ctx->fleet, GB_STR("s"));
+
+	(void)out;
+	ctx->vms = scr_int(args, GB_STR("vms"), 1);
+	ctx->rank = scr_int(args, GB_STR("rank"), 0);
+	service->conns_max = scr_int(args, GB_STR("conns"), 26);
+	service->cold_rate = scr_double(args, GB_STR("cold_rate"), 0);
+}
+
+static void cmd_wait(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	ctx->out = out;
+	ctx->now += scr_int(args, GB_STR("ms"), 0) * GB_MSEC;
+	fl_sweep(ctx->fleet, ctx->now);
+}
+
+static struct fl_upstream *pick(struct ctx *ctx, bool spare, gb_time *wait)
+{
+	const struct fl_need need = { .usual = ctx->usual, .spare = spare };
+
+	return fl_pick(ctx->fleet, fl_service(ctx->fleet, GB_STR("s")), &need,
+		       ctx->now, wait);
+}
+
+/* Picks n times, without sending, and counts; or says what to wait for. */
+static void cmd_pick(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	int64_t n = scr_int(args, GB_STR("n"), 100);
+	GHashTable *counts = g_hash_table_new(g_direct_hash, g_direct_equal);
+	GPtrArray *all = fl_service(ctx->fleet, GB_STR("s"))->upstreams;
+	gb_time wait = GB_NEVER;
+	int64_t none = 0;
+
+	for (int64_t i = 0; i < n; i++) {
+		struct fl_upstream *upstream =
+			pick(ctx, scr_int(args, GB_STR("spare"), 0), &wait);
+		gint count;
+
+		if (!upstream) {
+			none++;
+			continue;
+		}
+		count = GPOINTER_TO_INT(g_hash_table_lookup(counts, upstream));
+		g_hash_table_insert(counts, upstream,
+				    GINT_TO_POINTER(count + 1));
+	}
+	for (guint i = 0; i < all->len; i++) {
+		struct fl_upstream *upstream = all->pdata[i];
+
+		gb_buf_addf(out, "  %.*s %s\n", (int)upstream->id.len,
+			    upstream->id.ptr,
+			    !g_hash_table_lookup(counts, upstream) ? "never"
+			    : GPOINTER_TO_INT(g_hash_table_lookup(
+				      counts, upstream)) == n
+				    ? "always"
+				    : "at times");
+	}
+	if (none && wait == GB_NEVER)
+		gb_buf_addf(out, "  none, nothing to wait for\n");
+	else if (none)
+		gb_buf_addf(out, "  none, wait %lld ms\n",
+			    (long long)(wait / GB_MSEC));
+	g_hash_table_destroy(counts);
+}
+
+static struct fl_upstream *find(struct ctx *ctx, struct gb_str id)
+{
+	GPtrArray *all = fl_service(ctx->fleet, GB_STR("s"))->upstreams;
+
+	for (guint i = 0; i < all->len; i++)
+		if (gb_str_eq(((struct fl_upstream *)all->pdata[i])->id, id))
+			return all->pdata[i];
+	return NULL;
+}
+
+/* call ID n= ms= end=answered|refused|failed|unreachable|abandoned|running */
+static void cmd_call(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	struct gb_str end = scr_str(args, GB_STR("end"), GB_STR("answered"));
+	struct fl_upstream *upstream = find(ctx, scr_word(args, 0));
+	gb_time elapsed = scr_int(args, GB_STR("ms"), 10) * GB_MSEC;
+
+	(void)out;
+	for (int64_t n = scr_int(args, GB_STR("n"), 1); n > 0; n--) {
+		fl_sent(ctx->fleet, upstream, ctx->now);
+		if (gb_str_eq(end, GB_STR("answered")))
+			fl_answered(upstream, ctx->now, elapsed, ctx->usual);
+		else if (gb_str_eq(end, GB_STR("refused")))
+			fl_refused(upstream, ctx->now);
+		else if (gb_str_eq(end, GB_STR("failed")))
+			fl_failed(upstream, ctx->now);
+		else if (gb_str_eq(end, GB_STR("unreachable")))
+			fl_unreachable(upstream, ctx->now);
+		else if (gb_str_eq(end, GB_STR("abandoned")))
+			fl_abandoned(upstream, ctx->now, elapsed, ctx->usual);
+		else if (gb_str_eq(end, GB_STR("misdirected")))
+			fl_misdirected(ctx->fleet, upstream, ctx->now);
+	}
+}
+
+static void cmd_conns(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	gb_buf_addf(out, "  %u connections\n",
+		    fl_conns(ctx->fleet, find(ctx, scr_word(args, 0))));
+}
+
+/* Sends to a cold upstream as often as its share allows, for a time. */
+static void cmd_cold(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	gb_time until = ctx->now + scr_int(args, GB_STR("ms"), 0) * GB_MSEC;
+	int64_t sent = 0;
+	gb_time wait;
+
+	for (; ctx->now < until; ctx->now += 10 * GB_MSEC) {
+		struct fl_upstream *upstream;
+
+		while ((upstream = pick(ctx, false, &wait))) {
+			fl_sent(ctx->fleet, upstream, ctx->now);
+			fl_answered(upstream, ctx->now, ctx->usual, ctx->usual);
+			sent++;
+			if (upstream->cold_until <= ctx->now)
+				break;
+		}
+	}
+	gb_buf_addf(out, "  sent %lld\n", (long long)sent);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct scr_command commands[] = {
+		{ GB_STR_INIT("put"), cmd_put },
+		{ GB_STR_INIT("remove"), cmd_remove },
+		{ GB_STR_INIT("list"), cmd_list },
+		{ GB_STR_INIT("exclude"), cmd_exclude },
+		{ GB_STR_INIT("limits"), cmd_limits },
+		{ GB_STR_INIT("wait"), cmd_wait },
+		{ GB_STR_INIT("pick"), cmd_pick },
+		{ GB_STR_INIT("call"), cmd_call },
+		{ GB_STR_INIT("conns"), cmd_conns },
+		{ GB_STR_INIT("cold"), cmd_cold },
+	};
+	static const struct scr_suite suite = {
+		.name = "fleet",
+		.folder = "packages/fleet/tests",
+		.commands = commands,
+		.commands_len = G_N_ELEMENTS(commands),
+		.open = open_ctx,
+		.close = close_ctx,
+	};
+
+	return scr_main(argc, argv, &suite);
+}
