Follow the store through other VMs: three readers in large tiers

Change: each VM keeps what it read (packages/mirror) and serves it on its control address in the store's words. Up to 6 VMs all follow the store; in larger tiers the three first by rendezvous hashing do, and the others follow those. After a failure of one kind of source the other is tried. A mirror answers 503 once it is not fresh; only a VM that knows nothing takes old lists, and nobody takes a list older than what it knows.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -99,5 +99,5 @@
 
 	if (follower->step == DIR_LIST)
 		return MIN(list, LIST_TIMEOUT_MAX);
-	return DIR_WAIT + WATCH_MARGIN;
+	return follower->wait + WATCH_MARGIN;
 }
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -31,14 +31,9 @@
 	uint32_t failures; /* in a row */
 	gb_time failing_since; /* 0 while the store answers */
 	bool synced; /* all objects were read once */
+	gb_time wait; /* for changes, at whoever is asked; set by the shell */
 };
 
-/*
- * Time that a wait for changes may take, at the store. A connection that has
- * fallen silent is noticed when the wait should have ended.
- */
-#define DIR_WAIT (5 * GB_SEC)
-
 void dir_init(struct dir_follower *follower);
 void dir_free(struct dir_follower *follower);
 
--- a/packages/directory/tests/directory-test.c
+++ b/packages/directory/tests/directory-test.c
@@ -10,6 +10,7 @@
 	struct ctx *ctx = g_new0(struct ctx, 1);
 
 	dir_init(&ctx->follower);
+	ctx->follower.wait = 5 * GB_SEC;
 	return ctx;
 }
 
--- a/packages/front/fr-control.c
+++ b/packages/front/fr-control.c
@@ -54,8 +54,13 @@
 static void on_control(void *ctx, struct ht_exchange *x)
 {
 	struct gb_buf out = GB_BUF_INIT;
+	struct fr_store_query query;
 	struct fr *fr = ctx;
 
+	if (fr->platform->read_query(x->request.path, &query)) {
+		fr_mirror_serve(fr, x, &query);
+		return;
+	}
 	met_set(&fr->metrics, MET_QUERIES_RUNNING, fr->queries.length);
 	met_set(&fr->metrics, MET_CONFIG_VERSION,
 		fr->book.table ? fr->book.table->version : 0);
@@ -73,7 +78,7 @@
 static void on_gone(void *ctx, struct ht_exchange *x)
 {
 	(void)ctx;
-	(void)x;
+	fr_mirror_gone(x);
 }
 
 static void on_bad(void *ctx, int status)
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -1,14 +1,11 @@
 #include "front/fr-internal.h"
 
+/* Time after a failure of the store during which a VM is asked instead. */
+#define AVOID_STORE (4 * GB_SEC)
+
 /* A follower that has failed for longer may miss changes that are in force. */
 #define BEHIND_AFTER (1 * GB_SEC)
 
-/* Connections to the store: one for each follower. */
-#define STORE_CONNS FR_KINDS
-
-/* The store is a few milliseconds away; a lost packet is sent anew sooner. */
-#define STORE_CONNECT_TIMEOUT (400 * GB_MSEC)
-
 static void on_timer(uv_timer_t *timer);
 
 /* Ties the routes and services of a version to what outlives it. */
@@ -117,7 +114,16 @@
 	fr_event(fr, &event);
 }
 
+static void on_object(void *ctx, enum fr_kind kind,
+		      const struct mir_object *object)
+{
+	struct fr *fr = ctx;
+
+	mir_put(fr->follows[kind].mirror, object);
+}
+
 static const struct fr_sink sink = {
+	.object = on_object,
 	.routes = on_routes,
 	.upstream = on_upstream,
 	.upstream_gone = on_upstream_gone,
@@ -130,6 +136,7 @@
 {
 	if (follow->follower.after.len)
 		return;
+	mir_list_begin(follow->mirror);
 	if (follow->kind == FR_UPSTREAMS)
 		fl_list_begin(follow->fr->fleet);
 	if (follow->kind == FR_EXCLUSIONS)
@@ -154,7 +161,7 @@
 
 static void take_list(struct fr_follow *follow)
 {
-	struct fr_page page = { 0 };
+	struct fr_page page = { .least = follow->follower.revision };
 	gb_time now = ht_now();
 
 	begin_list(follow);
@@ -166,6 +173,8 @@
 	}
 	end_list(follow, &page);
 	dir_listed(&follow->follower, now, page.revision, page.more, page.last);
+	if (!page.more)
+		mir_list_end(follow->mirror, follow->follower.revision);
 	gb_str_free(&page.last);
 }
 
@@ -182,6 +191,7 @@
 		return;
 	}
 	dir_watched(&follow->follower, now, page.revision, page.objects);
+	mir_changes_end(follow->mirror, follow->follower.revision);
 }
 
 static void tell_lost(struct fr_follow *follow)
@@ -219,6 +229,16 @@
 {
 	dir_failed(&follow->follower, ht_now());
 	tell_lost(follow);
+	fr_mirror_changed(follow);
+}
+
+/* A store that refuses this VM, or is silent, is left alone for a while. */
+static void note_store(struct fr_follow *follow, enum ht_outcome outcome)
+{
+	bool answered = outcome == HT_ANSWERED &&
+			(follow->status == 200 || follow->status == 410);
+
+	follow->avoid_store_until = answered ? 0 : ht_now() + AVOID_STORE;
 }
 
 /* Takes the answer of the store and waits for the next step. */
@@ -227,12 +247,16 @@
 	gb_time since = follow->follower.failing_since;
 
 	follow->running = false;
+	if (follow->at_store)
+		note_store(follow, outcome);
 	if (outcome == HT_ANSWERED && follow->status == 200) {
 		tell_back(follow, since);
+		follow->answered_at = ht_now();
 		if (follow->follower.step == DIR_LIST)
 			take_list(follow);
 		else
 			take_changes(follow);
+		fr_mirror_changed(follow);
 	} else if (outcome == HT_ANSWERED && follow->status == 410) {
 		dir_history_lost(&follow->follower, ht_now());
 	} else {
@@ -251,11 +275,13 @@
 
 	if (follow->follower.step == DIR_LIST) {
 		met_add(&follow->fr->metrics, MET_STORE_READS, 1);
-		platform->write_list(follow->kind, follow->follower.after, out);
+		platform->write_list(
+			follow->kind, follow->follower.after,
+			!follow->at_store && !follow->follower.synced, out);
 	} else {
 		met_add(&follow->fr->metrics, MET_STORE_WATCHES, 1);
 		platform->write_watch(follow->kind, follow->follower.revision,
-				      DIR_WAIT, out);
+				      follow->follower.wait, out);
 	}
 	return true;
 }
@@ -288,6 +314,7 @@
 static void on_timer(uv_timer_t *timer)
 {
 	struct fr_follow *follow = timer->data;
+	struct ht_target *source;
 
 	if (follow->running) {
 		ht_call_cancel(&follow->call);
@@ -295,22 +322,27 @@
 		return;
 	}
 	follow->running = true;
+	source = fr_choose_source(follow, ht_now());
 	arm(follow, ht_now() + dir_timeout(&follow->follower));
-	ht_call_start(&follow->call, follow->fr->store, &call_ops);
+	ht_call_start(&follow->call, source, &call_ops);
 }
 
 int fr_directory_start(struct fr *fr)
 {
-	fr->store = ht_target_new(fr->loop, fr->settings.store, STORE_CONNS);
-	if (!fr->store)
+	struct sockaddr_storage addr;
+
+	if (ht_address(fr->settings.store, &addr))
 		return UV_EINVAL;
-	fr->store->connect_timeout = STORE_CONNECT_TIMEOUT;
+	fr->peers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (int kind = 0; kind < FR_KINDS; kind++) {
 		struct fr_follow *follow = &fr->follows[kind];
 
 		follow->fr = fr;
 		follow->kind = kind;
 		dir_init(&follow->follower);
+		follow->mirror = mir_new();
+		g_queue_init(&follow->polls);
 		uv_timer_init(fr->loop, &follow->timer);
 		follow->timer.data = follow;
 		uv_timer_start(&follow->timer, on_timer, 0, 0);
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -22,6 +22,11 @@
 	struct fr *fr;
 	enum fr_kind kind;
 	struct dir_follower follower;
+	struct mir_table *mirror; /* what was read, for other VMs */
+	GQueue polls; /* of struct fr_poll: VMs that wait for changes */
+	bool at_store; /* the store is asked, not another VM */
+	gb_time answered_at;
+	gb_time avoid_store_until; /* it failed lately, and a VM can tell */
 	struct ht_call call;
 	bool running;
 	int status;
@@ -56,6 +61,7 @@
 	uv_udp_t udp;
 	uint32_t ticks;
 	struct ht_target *store;
+	GHashTable *peers; /* control address of a VM to struct ht_target */
 	struct fr_follow follows[FR_KINDS];
 };
 
@@ -88,6 +94,16 @@
 bool fr_is_synced(const struct fr *fr);
 bool fr_is_behind(const struct fr *fr);
 
+/* Whom to follow: the store, or a VM that follows it. */
+struct ht_target *fr_choose_source(struct fr_follow *follow, gb_time now);
+
+/* The store's side for VMs that follow this one. */
+void fr_mirror_serve(struct fr *fr, struct ht_exchange *x,
+		     const struct fr_store_query *query);
+void fr_mirror_gone(struct ht_exchange *x);
+void fr_mirror_changed(struct fr_follow *follow);
+void fr_mirror_tick(struct fr *fr, gb_time now);
+
 /* Members. */
 int fr_member_start(struct fr *fr);
 void fr_member_tick(struct fr *fr);
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -165,6 +165,7 @@
 	if (fr->ticks % TICKS_SETTINGS == 0)
 		fr_check_settings(fr, false);
 	ht_server_sweep(&fr->front, now);
+	fr_mirror_tick(fr, now);
 	fl_sweep(fr->fleet, now);
 	tell_ready(fr);
 	ev_log_flush(&fr->log);
--- a/packages/front/fr.h
+++ b/packages/front/fr.h
@@ -16,6 +16,7 @@
 #include "forward/fw.h"
 #include "http/ht-client.h"
 #include "http/ht-server.h"
+#include "mirror/mir.h"
 
 struct fr_settings {
 	struct gb_str name; /* of this VM, in log lines */
@@ -69,18 +70,31 @@
 	void (*upstream)(void *ctx, const struct fl_entry *entry);
 	void (*upstream_gone)(void *ctx, struct gb_str id);
 	void (*excluded)(void *ctx, struct gb_str dc, bool excluded);
+	/* Each object as it came, before it is decoded. */
+	void (*object)(void *ctx, enum fr_kind kind,
+		       const struct mir_object *object);
 	void (*bad)(void *ctx, enum fr_kind kind, struct gb_str name,
 		    const struct gb_error *error);
 };
 
 /* The end of a page of objects or of a list of changes. */
 struct fr_page {
+	int64_t least; /* a page of an older revision is not taken */
 	int64_t revision;
 	size_t objects;
 	bool more;
 	struct gb_str last; /* name of the last object; owned */
 };
 
+/* What a VM that follows this one asks for, in the store's own words. */
+struct fr_store_query {
+	enum fr_kind kind;
+	bool watch;
+	bool stale; /* takes objects of any age */
+	int64_t revision;
+	gb_time wait;
+};
+
 /* How the platform's messages look. */
 struct fr_platform {
 	struct gb_str ready_path;
@@ -99,7 +113,7 @@
 	/* Appends the header fields of a reply. */
 	void (*write_reply)(const struct fw_reply *reply, struct gb_str id,
 			    struct gb_buf *fields);
-	void (*write_list)(enum fr_kind kind, struct gb_str after,
+	void (*write_list)(enum fr_kind kind, struct gb_str after, bool stale,
 			   struct gb_buf *out);
 	void (*write_watch)(enum fr_kind kind, int64_t revision, gb_time wait,
 			    struct gb_buf *out);
@@ -109,6 +123,12 @@
 	int (*read_watch)(enum fr_kind kind, struct gb_str body,
 			  const struct fr_sink *sink, void *ctx,
 			  struct fr_page *page);
+	/* The store's side of a list or a watch; false for other paths. */
+	bool (*read_query)(struct gb_str path, struct fr_store_query *query);
+	void (*add_object)(bool watch, const struct mir_object *object,
+			   struct gb_buf *page);
+	/* Makes a whole body of what add_object() appended. */
+	void (*end_page)(bool watch, int64_t revision, struct gb_buf *page);
 };
 
 /* Reads the settings again; returns the number of faults. */
--- a/packages/member/mem.c
+++ b/packages/member/mem.c
@@ -206,3 +206,37 @@
 	}
 	return rank;
 }
+
+/* Number of live members that come before the member for the key. */
+static uint32_t rank_of(const struct mem_table *table, gb_time now,
+			uint64_t key, const struct member *member)
+{
+	uint64_t hash = gb_hash(address_of(&member->row), key);
+	uint32_t rank = 0;
+
+	for (guint i = 0; i < table->members->len; i++) {
+		const struct member *other = table->members->pdata[i];
+
+		rank += other != member && is_live(table, other, now) &&
+			gb_hash(address_of(&other->row), key) > hash;
+	}
+	return rank;
+}
+
+bool mem_pick(const struct mem_table *table, gb_time now, uint64_t key,
+	      uint32_t ranks, struct gb_str *address)
+{
+	uint32_t found = 0;
+
+	for (guint i = 0; i < table->members->len; i++) {
+		const struct member *member = table->members->pdata[i];
+
+		if (!is_live(table, member, now) ||
+		    rank_of(table, now, key, member) >= ranks)
+			continue;
+		/* Each of those found is kept with the same chance. */
+		if (!gb_rng_below(table->rng, ++found))
+			*address = address_of(&member->row);
+	}
+	return found > 0;
+}
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -70,6 +70,13 @@
 uint32_t mem_live(const struct mem_table *table, gb_time now);
 bool mem_settled(const struct mem_table *table, gb_time now);
 
+/*
+ * A random live member among the first ranks for a key, without this VM;
+ * false if there is none. The address is valid until the next message.
+ */
+bool mem_pick(const struct mem_table *table, gb_time now, uint64_t key,
+	      uint32_t ranks, struct gb_str *address);
+
 /* Rank of this VM by rendezvous hashing among the live ones; 0 is first. */
 uint32_t mem_rank(const struct mem_table *table, gb_time now, uint64_t key);
 
