An emulator of the platform, with load, a script of events and checks

The emulator plays the store, the upstreams and the callers of real VMs of role front, follows a script of troubles, and checks what callers and upstreams see.

--- a/Makefile
+++ b/Makefile
@@ -35,14 +35,16 @@
 BENCHES = $(addprefix $(BUILD)/bench-,\
 	$(filter-out common,$(call programs,$(BENCH_SRC))))
 MATRIX = $(if $(MATRIX_SRC),$(BUILD)/matrix)
+EMULATOR_SRC = $(wildcard platform/emulator/*.c)
+EMULATOR = $(BUILD)/emulator
 BINARIES = $(if $(DAEMON_SRC),$(BUILD)/gentianbend) \
 	$(if $(CTL_SRC),$(BUILD)/gentianctl)
 
 .PHONY: all check demo bench matrix install-deps format format-check lint \
-	unit docs-check scenario process asan clean
+	unit docs-check scenario process emulate asan clean
 .SECONDARY:
 
-all: $(BINARIES) $(STANDINS) $(SCENARIOS) $(MATRIX) $(BENCHES) $(UNITS)
+all: $(BINARIES) $(EMULATOR) $(STANDINS) $(SCENARIOS) $(MATRIX) $(BENCHES) $(UNITS)
 
 $(BUILD)/obj/%.o: %.c
 	@mkdir -p $(@D)
@@ -94,6 +96,10 @@
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
+$(EMULATOR): $(call obj,$(EMULATOR_SRC)) $(BUILD)/obj/tests/script/scr.o $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
 	grep -v generated)
 
@@ -125,10 +131,13 @@
 process: all
 	tests/run-processes $(BUILD)
 
+emulate: all
+	tests/run-emulator $(BUILD)
+
 asan:
 	$(MAKE) -j8 BUILD=build-asan CFLAGS="-O1 -g" \
 		SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer" \
-		all unit scenario process
+		all unit scenario process emulate
 
 check: install-deps
 	$(MAKE) format-check lint
--- a/packages/http/ht-server.c
+++ b/packages/http/ht-server.c
@@ -380,3 +380,11 @@
 			close_conn(conn);
 	}
 }
+
+void ht_server_stop(struct ht_server *server)
+{
+	while (server->conns.length)
+		close_conn(server->conns.head->data);
+	if (!uv_is_closing((uv_handle_t *)&server->listener))
+		uv_close((uv_handle_t *)&server->listener, NULL);
+}
--- /dev/null
+++ b/tests/emulator/lib.sh
@@ -0,0 +1,58 @@
+# Runs VMs of role "front" beside the emulator. A test has its own loopback
+# addresses, 127.0.NET.1 and up, so that several run at once.
+
+# write_settings DIR NET INDEX VMS
+write_settings() {
+	local seeds= i
+	i=1
+	while [ "$i" -le "$4" ] && [ "$i" -le 3 ]; do
+		seeds="$seeds${seeds:+,}127.0.$2.$i:8106"
+		i=$((i + 1))
+	done
+	cat >"$1/vm$3.ini" <<-EOF
+	[vm]
+	name = vm$3
+	dc = dc-a
+	role = front
+	[front]
+	listen = 127.0.$2.$3:8104
+	ready = 127.0.$2.$3:8108
+	control = 127.0.$2.$3:8106
+	seeds = $seeds
+	member_port = 7380
+	[platform]
+	address = 127.0.$2.200:8102
+	[bounds]
+	drain_ms = 3000
+	grace_s = 6
+	retry_ratio = 0.2
+	retry_extra = 58
+	EOF
+}
+
+# start_vm DIR NET INDEX: starts the VM and keeps its process id
+start_vm() {
+	"$build/gentianbend" --settings "$1/vm$3.ini" >>"$1/vm$3.log" \
+		2>>"$1/vm$3.err" &
+	echo $! >"$1/vm$3.pid"
+	disown
+}
+
+# signal_vm DIR INDEX SIGNAL
+signal_vm() {
+	kill -"$3" "$(cat "$1/vm$2.pid")" 2>/dev/null
+}
+
+# stop_all DIR
+stop_all() {
+	for file in "$1"/*.pid; do
+		kill -KILL "$(cat "$file")" 2>/dev/null
+	done
+}
+
+# at MILLISECONDS: waits until that time since the emulator's start
+at() {
+	local left=$((started + $1 - $(date +%s%N) / 1000000))
+
+	[ "$left" -gt 0 ] && sleep "$((left / 1000)).$(printf %03d $((left % 1000)))"
+}
