--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -14,11 +14,13 @@
 
 /*
  * A store that is down may take a request and never answer it, so the first
- * tries are short; a slow store gets longer with each failure.
+ * tries are short; a slow store gets longer with each failure. A VM that
+ * serves must notice a change soon after the store is back.
  */
-#define LIST_TIMEOUT_MIN (600 * GB_MSEC)
-#define LIST_TIMEOUT_STEP (300 * GB_MSEC)
-#define LIST_TIMEOUT_MAX (2500 * GB_MSEC)
+#define ANSWER_TIMEOUT_MIN (600 * GB_MSEC)
+#define ANSWER_TIMEOUT_STEP (300 * GB_MSEC)
+#define ANSWER_TIMEOUT_SYNCED (1200 * GB_MSEC)
+#define ANSWER_TIMEOUT_MAX (2500 * GB_MSEC)
 
 /* Above the time that the store may wait; a slow store answers later. */
 #define WATCH_MARGIN (800 * GB_MSEC)
@@ -92,12 +94,18 @@
 	follower->due = now + pause;
 }
 
+void dir_begin(struct dir_follower *follower, gb_time wait)
+{
+	follower->wait = follower->failures ? 0 : wait;
+}
+
 gb_time dir_timeout(const struct dir_follower *follower)
 {
-	gb_time list =
-		LIST_TIMEOUT_MIN + follower->failures * LIST_TIMEOUT_STEP;
+	gb_time answer =
+		ANSWER_TIMEOUT_MIN + follower->failures * ANSWER_TIMEOUT_STEP;
 
-	if (follower->step == DIR_LIST)
-		return MIN(list, LIST_TIMEOUT_MAX);
-	return follower->wait + WATCH_MARGIN;
+	if (follower->step == DIR_WATCH && follower->wait)
+		return follower->wait + WATCH_MARGIN;
+	return MIN(answer, follower->synced ? ANSWER_TIMEOUT_SYNCED
+					    : ANSWER_TIMEOUT_MAX);
 }
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -31,12 +31,19 @@
 	uint32_t failures; /* in a row */
 	gb_time failing_since; /* 0 while the store answers */
 	bool synced; /* all objects were read once */
-	gb_time wait; /* for changes, at whoever is asked; set by the shell */
+	gb_time wait; /* for changes, at whoever is asked */
 };
 
 void dir_init(struct dir_follower *follower);
 void dir_free(struct dir_follower *follower);
 
+/*
+ * Begins a step whose source may hold the request for a time while nothing
+ * changes. After a failure it is asked to answer at once instead, since a
+ * source that has fallen silent cannot be told from one that waits.
+ */
+void dir_begin(struct dir_follower *follower, gb_time wait);
+
 /* Notes how a step ended. */
 void dir_listed(struct dir_follower *follower, gb_time now, int64_t revision,
 		bool more, struct gb_str last);
--- a/packages/directory/tests/directory-test.c
+++ b/packages/directory/tests/directory-test.c
@@ -10,7 +10,6 @@
 	struct ctx *ctx = g_new0(struct ctx, 1);
 
 	dir_init(&ctx->follower);
-	ctx->follower.wait = 5 * GB_SEC;
 	return ctx;
 }
 
@@ -27,9 +26,12 @@
 	return scr_int(args, GB_STR("at_ms"), 0) * GB_MSEC;
 }
 
-static void print(const struct ctx *ctx, struct gb_buf *out)
+/* Prints the next step, as it begins with a wait of 5 s. */
+static void print(struct ctx *ctx, struct gb_buf *out)
 {
-	const struct dir_follower *f = &ctx->follower;
+	struct dir_follower *f = &ctx->follower;
+
+	dir_begin(f, 5 * GB_SEC);
 
 	if (f->step == DIR_LIST)
 		gb_buf_addf(out, "list after=\"%.*s\"", (int)f->after.len,
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -103,12 +103,13 @@
 {
 	struct fr *fr = follow->fr;
 	struct ht_target *peer = NULL;
+	gb_time wait = WAIT_RELAYED;
 
 	if (!prefers_store(follow, now))
 		peer = choose_peer(fr, now);
 	follow->at_store = !peer;
-	follow->follower.wait = WAIT_RELAYED;
 	if (follow->at_store && mem_live(fr->members, now) <= DIRECT_VMS)
-		follow->follower.wait = WAIT_ALONE;
+		wait = WAIT_ALONE;
+	dir_begin(&follow->follower, wait);
 	return peer ? peer : store_target(fr);
 }
