--- a/Makefile
+++ b/Makefile
@@ -20,11 +20,11 @@
 SCENARIO_SRC = $(FAKES_SRC) tests/scenario/scn-main.c
 BENCH_SRC = $(wildcard bench/*.c)
 MATRIX_SRC = $(wildcard tests/matrix/*.c)
-UNIT_SRC = $(wildcard packages/*/tests/*.c)
+UNIT_SRC = $(wildcard packages/*/tests/*.c) $(wildcard platform/tests/*.c)
 
 obj = $(patsubst %.c,$(BUILD)/obj/%.o,$(1))
 LIB = $(BUILD)/libgentianbend.a
-UNITS = $(patsubst %.c,$(BUILD)/%,$(UNIT_SRC))
+UNITS = $(patsubst %.c,$(BUILD)/units/%,$(UNIT_SRC))
 
 # A program is built from every file in its folder named PROGRAM-*.c; a file
 # named common-*.c serves all programs of the folder.
@@ -69,15 +69,15 @@
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
 
-$(UNITS): $(BUILD)/%: $(BUILD)/obj/%.o $(BUILD)/obj/tests/script/scr.o $(LIB)
+$(UNITS): $(BUILD)/units/%: $(BUILD)/obj/%.o $(BUILD)/obj/tests/script/scr.o $(LIB)
 	@mkdir -p $(@D)
 	@echo "  LD $@"
 	@$(CC) $(SANITIZE) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS)
 
 # The test of the command line brings its own HTTP client, output and clock.
 CTL_TESTED = $(filter-out %/ctl-main.c %/ctl-http.c %/ctl-shell.c,$(CTL_SRC))
-$(BUILD)/packages/ctl/tests/ctl-test: $(call obj,$(CTL_TESTED))
-$(BUILD)/packages/ctl/tests/http-test: $(call obj,packages/ctl/ctl-http.c)
+$(BUILD)/units/packages/ctl/tests/ctl-test: $(call obj,$(CTL_TESTED))
+$(BUILD)/units/packages/ctl/tests/http-test: $(call obj,packages/ctl/ctl-http.c)
 
 
 define program
