--- a/packages/ctl/ctl-each.c
+++ b/packages/ctl/ctl-each.c
@@ -1,5 +1,15 @@
 #include "ctl/ctl.h"
 
+void ctl_show_text(const struct ctl_line *line, const struct ctl_call *call,
+		   struct gb_buf *text)
+{
+	(void)line;
+	gb_buf_add(text, GB_STR("# server "));
+	ctl_server_text(&call->server, text);
+	gb_buf_addc(text, '\n');
+	gb_buf_add(text, gb_buf_str(&call->answer));
+}
+
 int ctl_each(const struct ctl_line *line, struct gb_str path, ctl_show show)
 {
 	struct ctl_call *calls = ctl_calls(line->servers, GB_STR("GET"), path);
--- a/packages/ctl/ctl.h
+++ b/packages/ctl/ctl.h
@@ -29,6 +29,9 @@
 /* Options that belong to some commands only. */
 enum ctl_option { CTL_OPT_OUTPUT = 1, CTL_OPT_FILTER = 2 };
 
+/* Log files that one command reads. */
+#define CTL_LOGS_MAX 256
+
 struct ctl_line {
 	GArray *servers; /* of struct ctl_server */
 	GArray *words; /* of struct gb_str, after the command */
@@ -60,6 +63,8 @@
 int ctl_timeline(const struct ctl_line *line);
 int ctl_metrics(const struct ctl_line *line);
 int ctl_check(const struct ctl_line *line);
+int ctl_log(const struct ctl_line *line);
+int ctl_state(const struct ctl_line *line);
 int ctl_events_catalogue(const struct ctl_line *line);
 int ctl_settings_manual(const struct ctl_line *line);
 
@@ -103,6 +108,10 @@
 /* Gets a path from each server and prints the answers; an exit status. */
 int ctl_each(const struct ctl_line *line, struct gb_str path, ctl_show show);
 
+/* Appends the answer as it is, below the name of its server. */
+void ctl_show_text(const struct ctl_line *line, const struct ctl_call *call,
+		   struct gb_buf *text);
+
 /* Appends "HOST:PORT". */
 void ctl_server_text(const struct ctl_server *server, struct gb_buf *out);
 
--- a/packages/event/ev-text.c
+++ b/packages/event/ev-text.c
@@ -96,8 +96,11 @@
 	gb_buf_add(out, row ? row->name : GB_STR("unknown"));
 	gb_buf_addf(out, " event=%d", event->code);
 	add_text(out, GB_STR("severity"), severity);
-	gb_buf_addf(out, " hlc=%" PRIu64 ".%u vm=%" PRIu32, event->hlc >> 16,
-		    (unsigned int)(event->hlc & 0xffff), event->vm);
+	/* A VM of role front has no number, and sends no stamps to others. */
+	if (event->hlc)
+		gb_buf_addf(out, " hlc=%" PRIu64 ".%u vm=%" PRIu32,
+			    event->hlc >> 16,
+			    (unsigned int)(event->hlc & 0xffff), event->vm);
 	add_text(out, GB_STR("request"), event->request);
 	add_text(out, GB_STR("upstream"), event->upstream);
 	add_text(out, GB_STR("dc"), event->dc);
--- a/packages/front/fr-caller.c
+++ b/packages/front/fr-caller.c
@@ -8,6 +8,9 @@
 /* Bytes of a path that a log line shows. */
 #define PATH_LOGGED 80
 
+/* Parts that were missing from an answer, as a log line names them. */
+#define MISSING_LOGGED 4
+
 static void on_timer(uv_timer_t *timer);
 
 /* Answers without forwarding anything. */
@@ -170,6 +173,30 @@
 		     ht_now() - request->received);
 }
 
+/* Names the parts that are not in, with what became of their last send. */
+static void add_missing(const struct fw_request *request, struct gb_buf *detail)
+{
+	uint32_t shown = 0;
+
+	for (uint32_t i = 0; i < request->parts_len; i++) {
+		const struct fw_part *part = &request->parts[i];
+		const struct fw_call *last = NULL;
+
+		if (part->state == FW_IN || shown == MISSING_LOGGED)
+			continue;
+		if (part->calls_len)
+			last = &part->calls[part->calls_len - 1];
+		gb_buf_addf(detail, "%s%.*s",
+			    shown++ ? "," : " missing_services=",
+			    (int)part->service->name.len,
+			    part->service->name.ptr);
+		if (last)
+			gb_buf_addf(detail, "(%.*s)",
+				    (int)last->upstream->id.len,
+				    last->upstream->id.ptr);
+	}
+}
+
 static void log_reply(struct fr *fr, const struct fw_request *request,
 		      const struct fw_reply *reply)
 {
@@ -190,6 +217,7 @@
 		    (long long)request->table->version, request->parts_len,
 		    request->parts_len - request->parts_in, request->sends,
 		    (long long)request->route->aim);
+	add_missing(request, &detail);
 	event.detail = gb_buf_str(&detail);
 	fr_event(fr, &event);
 	gb_buf_free(&detail);
