--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -27,7 +27,7 @@
  * elsewhere: the round trip, and more, since bytes between data centres are
  * billed.
  */
-#define HOP (6 * GB_MSEC)
+#define HOP (12 * GB_MSEC)
 
 /* Of the time that a leaving upstream serves; the rest is on its way. */
 #define LINGER_MARGIN (800 * GB_MSEC)
