Leave out VMs that failed as sources, and ask the store each fourth time

Change: a VM that did not answer is not asked for 5 s, one that is behind for 1.5 s; other readers come first, the store each fourth try. Up to 8 VMs follow the store themselves, so that 4 VMs and their spares do.

--- a/packages/front/fr-caller.c
+++ b/packages/front/fr-caller.c
@@ -186,10 +186,9 @@
 			continue;
 		if (part->calls_len)
 			last = &part->calls[part->calls_len - 1];
-		gb_buf_addf(detail, "%s%.*s",
-			    shown++ ? "," : " missing_services=",
-			    (int)part->service->name.len,
-			    part->service->name.ptr);
+		gb_buf_addf(
+			detail, "%s%.*s", shown++ ? "," : " missing_services=",
+			(int)part->service->name.len, part->service->name.ptr);
 		if (last)
 			gb_buf_addf(detail, "(%.*s)",
 				    (int)last->upstream->id.len,
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -1,8 +1,5 @@
 #include "front/fr-internal.h"
 
-/* Time after a failure of the store during which a VM is asked instead. */
-#define AVOID_STORE (4 * GB_SEC)
-
 /* A follower that has failed for longer may miss changes that are in force. */
 #define BEHIND_AFTER (1 * GB_SEC)
 
@@ -232,24 +229,17 @@
 	fr_mirror_changed(follow);
 }
 
-/* A store that refuses this VM, or is silent, is left alone for a while. */
-static void note_store(struct fr_follow *follow, enum ht_outcome outcome)
-{
-	bool answered = outcome == HT_ANSWERED &&
-			(follow->status == 200 || follow->status == 410);
-
-	follow->avoid_store_until = answered ? 0 : ht_now() + AVOID_STORE;
-}
-
 /* Takes the answer of the store and waits for the next step. */
 static void finish(struct fr_follow *follow, enum ht_outcome outcome)
 {
 	gb_time since = follow->follower.failing_since;
+	bool answered = outcome == HT_ANSWERED;
 
 	follow->running = false;
-	if (follow->at_store)
-		note_store(follow, outcome);
-	if (outcome == HT_ANSWERED && follow->status == 200) {
+	fr_note_source(
+		follow, answered,
+		answered && (follow->status == 200 || follow->status == 410));
+	if (answered && follow->status == 200) {
 		tell_back(follow, since);
 		follow->answered_at = ht_now();
 		if (follow->follower.step == DIR_LIST)
@@ -257,7 +247,7 @@
 		else
 			take_changes(follow);
 		fr_mirror_changed(follow);
-	} else if (outcome == HT_ANSWERED && follow->status == 410) {
+	} else if (answered && follow->status == 410) {
 		dir_history_lost(&follow->follower, ht_now());
 	} else {
 		fail(follow);
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -17,6 +17,12 @@
 	FR_CLOSING /* idle connections are closed as well */
 };
 
+/* Another VM, as a source of stored objects. */
+struct fr_peer {
+	struct ht_target *target;
+	gb_time avoid_until; /* it failed lately */
+};
+
 /* Follows one kind of objects. */
 struct fr_follow {
 	struct fr *fr;
@@ -25,6 +31,7 @@
 	struct mir_table *mirror; /* what was read, for other VMs */
 	GQueue polls; /* of struct fr_poll: VMs that wait for changes */
 	bool at_store; /* the store is asked, not another VM */
+	struct fr_peer *peer; /* the VM that is asked */
 	gb_time answered_at;
 	gb_time avoid_store_until; /* it failed lately, and a VM can tell */
 	struct ht_call call;
@@ -61,7 +68,7 @@
 	uv_udp_t udp;
 	uint32_t ticks;
 	struct ht_target *store;
-	GHashTable *peers; /* control address of a VM to struct ht_target */
+	GHashTable *peers; /* control address of a VM to struct fr_peer */
 	struct fr_follow follows[FR_KINDS];
 };
 
@@ -97,6 +104,9 @@
 /* Whom to follow: the store, or a VM that follows it. */
 struct ht_target *fr_choose_source(struct fr_follow *follow, gb_time now);
 
+/* Notes how the source did; good if what it answered can be used. */
+void fr_note_source(struct fr_follow *follow, bool answered, bool good);
+
 /* The store's side for VMs that follow this one. */
 void fr_mirror_serve(struct fr *fr, struct ht_exchange *x,
 		     const struct fr_store_query *query);
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -5,7 +5,7 @@
  * chosen by rendezvous hashing, and the others follow one of those, so that
  * the calls to the store do not grow with the tier.
  */
-#define DIRECT_VMS 6
+#define DIRECT_VMS 8
 #define READERS 3
 #define READERS_KEY 0x726561646572ull
 
@@ -23,6 +23,25 @@
 #define WAIT_ALONE (5 * GB_SEC)
 #define WAIT_RELAYED (1500 * GB_MSEC)
 
+/*
+ * Time for which a VM is not asked after it did not answer, or answered that
+ * it is not up to date. Members notice a dead VM later than this.
+ */
+#define AVOID_UNREACHABLE (5 * GB_SEC)
+#define AVOID_BEHIND (1500 * GB_MSEC)
+
+/* Time after a failure of the store during which a VM is asked instead. */
+#define AVOID_STORE (4 * GB_SEC)
+
+/* Members drawn in search of one that did not fail lately. */
+#define DRAWS 8
+
+/*
+ * Where the readers fail, every fourth try goes to the store: in an outage of
+ * the store itself all of them fail, and each refused call is billed.
+ */
+#define STORE_EACH 4
+
 static bool is_reader(const struct fr *fr, gb_time now)
 {
 	return mem_live(fr->members, now) <= DIRECT_VMS ||
@@ -45,45 +64,58 @@
 	return gb_buf_str(out);
 }
 
-static struct ht_target *peer_target(struct fr *fr, struct gb_str member)
+static struct fr_peer *find_peer(struct fr *fr, struct gb_str member)
 {
 	struct gb_buf text = GB_BUF_INIT;
 	struct gb_str address = control_address(fr, member, &text);
 	char *key = gb_str_to_c(address);
-	struct ht_target *target = g_hash_table_lookup(fr->peers, key);
-
-	if (!target) {
-		target = ht_target_new(fr->loop, address, SOURCE_CONNS);
-		if (target) {
-			target->connect_timeout = CONNECT_TIMEOUT;
-			g_hash_table_insert(fr->peers, g_strdup(key), target);
-		}
-	}
+	struct fr_peer *peer = g_hash_table_lookup(fr->peers, key);
+	struct ht_target *target;
+
+	if (peer)
+		goto out;
+	target = ht_target_new(fr->loop, address, SOURCE_CONNS);
+	if (!target)
+		goto out;
+	target->connect_timeout = CONNECT_TIMEOUT;
+	peer = g_new0(struct fr_peer, 1);
+	peer->target = target;
+	g_hash_table_insert(fr->peers, g_strdup(key), peer);
+out:
 	g_free(key);
 	gb_buf_free(&text);
-	return target;
+	return peer;
 }
 
-/* A VM that follows the store, or any VM where those cannot be told apart. */
-static struct ht_target *choose_peer(struct fr *fr, gb_time now)
+/*
+ * A VM that follows the store, or any VM where those cannot be told apart;
+ * if there is one, one that did not fail lately.
+ */
+static struct fr_peer *choose_peer(struct fr *fr, gb_time now)
 {
 	uint32_t ranks =
 		mem_live(fr->members, now) > DIRECT_VMS ? READERS : UINT32_MAX;
+	struct fr_peer *peer = NULL;
 	struct gb_str member;
 
-	if (!fr->settings.control.len ||
-	    !mem_pick(fr->members, now, READERS_KEY, ranks, &member))
+	if (!fr->settings.control.len)
 		return NULL;
-	return peer_target(fr, member);
+	for (int i = 0; i < DRAWS; i++) {
+		if (!mem_pick(fr->members, now, READERS_KEY, ranks, &member))
+			return NULL;
+		peer = find_peer(fr, member);
+		if (peer && peer->avoid_until <= now)
+			return peer;
+	}
+	return peer;
 }
 
-/* After each failure the other kind of source is tried. */
 static bool prefers_store(const struct fr_follow *follow, gb_time now)
 {
 	uint32_t failures = follow->follower.failures;
 
 	if (!is_reader(follow->fr, now))
-		return failures % 2 == 1;
+		return failures % STORE_EACH == STORE_EACH - 1;
 	if (!failures)
 		return now >= follow->avoid_store_until;
 	return failures % 2 == 0;
@@ -102,14 +134,30 @@
 struct ht_target *fr_choose_source(struct fr_follow *follow, gb_time now)
 {
 	struct fr *fr = follow->fr;
-	struct ht_target *peer = NULL;
+	struct fr_peer *peer = NULL;
 	gb_time wait = WAIT_RELAYED;
 
 	if (!prefers_store(follow, now))
 		peer = choose_peer(fr, now);
+	/* With all readers away a VM that has not tried the store yet does. */
+	if (peer && peer->avoid_until > now &&
+	    follow->follower.failures < STORE_EACH)
+		peer = NULL;
+	follow->peer = peer;
 	follow->at_store = !peer;
 	if (follow->at_store && mem_live(fr->members, now) <= DIRECT_VMS)
 		wait = WAIT_ALONE;
 	dir_begin(&follow->follower, wait);
-	return peer ? peer : store_target(fr);
+	return peer ? peer->target : store_target(fr);
+}
+
+void fr_note_source(struct fr_follow *follow, bool answered, bool good)
+{
+	gb_time now = ht_now();
+
+	if (follow->at_store)
+		follow->avoid_store_until = good ? 0 : now + AVOID_STORE;
+	else if (!good)
+		follow->peer->avoid_until =
+			now + (answered ? AVOID_BEHIND : AVOID_UNREACHABLE);
 }
