--- a/tests/process/commands.sh
+++ b/tests/process/commands.sh
@@ -1,4 +1,4 @@
-# The commands that docs/operators.md, README.md and the manual page show, run
+# The commands that docs/OPERATIONS.md, README.md and the manual page show, run
 # against a fleet. Guards against documents that are out of date, and against
 # exit statuses other than the documented ones.
 fleet_start
@@ -10,14 +10,14 @@
 
 # The settings file of the guide is checked as it stands there.
 awk '/^ +\[vm\]$/ { on = 1 } on && !/^ +[^ ]/ { exit }
-	on { sub(/^ +/, ""); print }' docs/operators.md >"$work/entry-1.ini"
+	on { sub(/^ +/, ""); print }' docs/OPERATIONS.md >"$work/entry-1.ini"
 at_least "lines of the settings file in the guide" 10 \
 	"$(wc -l <"$work/entry-1.ini")"
 
 # Indented lines and those between backquotes, each once, as they come.
 {
 	grep -h -o -e '^    gentianctl .*' -e '`gentianctl [^`]*`' \
-		docs/operators.md README.md
+		docs/OPERATIONS.md README.md
 	grep -h '^gentianctl ' man/gentianctl.1
 } | sed 's/^ *//; s/`//g' | awk '!seen[$0]++' >"$work/commands"
 
