--- a/tests/process/commands.sh
+++ b/tests/process/commands.sh
@@ -14,10 +14,11 @@
 at_least "lines of the settings file in the guide" 10 \
 	"$(wc -l <"$work/entry-1.ini")"
 
-# Indented lines and those between backquotes, each once, as they come.
+# Indented lines and those between backquotes, each once, as they come. This
+# fleet has role entry; tests/emulator/commands.sh runs those for role front.
 {
-	grep -h -o -e '^    gentianctl .*' -e '`gentianctl [^`]*`' \
-		docs/OPERATIONS.md README.md
+	sed -n '/^# Role entry/,$p' docs/OPERATIONS.md | cat - README.md |
+		grep -h -o -e '^    gentianctl .*' -e '`gentianctl [^`]*`'
 	grep -h '^gentianctl ' man/gentianctl.1
 } | sed 's/^ *//; s/`//g' | awk '!seen[$0]++' >"$work/commands"
 
