--- a/packages/base/gb-rng.c
+++ b/packages/base/gb-rng.c
@@ -40,3 +40,13 @@
 
 	return XXH64(pair, sizeof(pair), 0);
 }
+
+unsigned int gb_str_key_hash(const void *key)
+{
+	return gb_hash(*(const struct gb_str *)key, 0);
+}
+
+int gb_str_key_equal(const void *a, const void *b)
+{
+	return gb_str_eq(*(const struct gb_str *)a, *(const struct gb_str *)b);
+}
--- a/packages/base/gb.h
+++ b/packages/base/gb.h
@@ -153,6 +153,10 @@
 double gb_rng_unit(struct gb_rng *rng);
 double gb_rng_exponential(struct gb_rng *rng, double mean);
 
+/* Hash and equality of keys that point at a gb_str, for hash tables. */
+unsigned int gb_str_key_hash(const void *key);
+int gb_str_key_equal(const void *a, const void *b);
+
 /* Hashes bytes with xxHash64; stable over processes and versions. */
 uint64_t gb_hash(struct gb_str s, uint64_t seed);
 uint64_t gb_hash_u64(uint64_t a, uint64_t b);
--- a/packages/fleet/fl-fleet.c
+++ b/packages/fleet/fl-fleet.c
@@ -3,18 +3,6 @@
 /* A cold upstream takes longer for each request, until its times are known. */
 #define COLD_SLOWNESS 1.6
 
-static guint str_hash(gconstpointer key)
-{
-	const struct gb_str *s = key;
-
-	return gb_hash(*s, 0);
-}
-
-static gboolean str_equal(gconstpointer a, gconstpointer b)
-{
-	return gb_str_eq(*(const struct gb_str *)a, *(const struct gb_str *)b);
-}
-
 static void free_service(gpointer data)
 {
 	struct fl_service *service = data;
@@ -54,12 +42,12 @@
 	fleet->share = share;
 	fleet->ctx = ctx;
 	fleet->rng = rng;
-	fleet->services =
-		g_hash_table_new_full(str_hash, str_equal, NULL, free_service);
-	fleet->upstreams =
-		g_hash_table_new_full(str_hash, str_equal, NULL, free_upstream);
-	fleet->excluded =
-		g_hash_table_new_full(str_hash, str_equal, free_key, NULL);
+	fleet->services = g_hash_table_new_full(
+		gb_str_key_hash, gb_str_key_equal, NULL, free_service);
+	fleet->upstreams = g_hash_table_new_full(
+		gb_str_key_hash, gb_str_key_equal, NULL, free_upstream);
+	fleet->excluded = g_hash_table_new_full(
+		gb_str_key_hash, gb_str_key_equal, free_key, NULL);
 	return fleet;
 }
 
--- a/packages/forward/fw-engine.c
+++ b/packages/forward/fw-engine.c
@@ -14,6 +14,17 @@
 
 #define DETAIL_MAX 256
 
+/*
+ * A hedge is due after this many times the usual time: soon while the budget
+ * is full, later the less of it is left.
+ */
+#define HEDGE_SOON 2.0
+#define HEDGE_LATE 5.0
+#define BUDGET_FULL 0.6
+
+/* Time on the network that the usual time of a fast kind hides. */
+#define HEDGE_EXTRA (3 * GB_MSEC)
+
 void fw_engine_init(struct fw_engine *engine, struct fl_fleet *fleet,
 		    const struct fw_ops *ops, void *ctx, struct gb_rng *rng,
 		    struct met_registry *metrics)
@@ -68,6 +79,17 @@
 		pace->usual *= 1 - PACE_STEP;
 }
 
+gb_time fw_hedge_delay(const struct fw_part *part, gb_time now)
+{
+	const struct fw_request *request = part->request;
+	double level =
+		bud_level(part->service->data, &request->engine->budget, now);
+	double spent = 1 - MIN(level / BUDGET_FULL, 1);
+	double times = HEDGE_SOON + (HEDGE_LATE - HEDGE_SOON) * spent;
+
+	return times * fw_usual(request) + HEDGE_EXTRA;
+}
+
 void fw_event(const struct fw_request *request, enum ev_code code,
 	      const struct fl_upstream *upstream, const char *fmt, ...)
 {
--- a/packages/forward/fw-internal.h
+++ b/packages/forward/fw-internal.h
@@ -6,14 +6,18 @@
  *	fw-internal - the steps of a request, within the package
  *
  * DESCRIPTION
- *	fw-request.c calls fw-part.c, which calls fw-call.c; what a request
- *	does when a part is settled stands in fw-settle.c.
+ *	Calls go one way: fw-request.c and fw-done.c take what happens and use
+ *	fw-part.c, which decides about repeats, and fw-settle.c, which decides
+ *	about the answer; both use fw-call.c, and all use fw-engine.c.
  */
 
 #include "forward/fw.h"
 
 /* Usual time of the request's kind, also before any was seen. */
 gb_time fw_usual(const struct fw_request *request);
+
+/* Time after which a part is sent to a second upstream. */
+gb_time fw_hedge_delay(const struct fw_part *part, gb_time now);
 void fw_pace_add(struct fw_pace *pace, gb_time elapsed);
 
 /* Sends a part to the upstream; it becomes the part's last call. */
@@ -32,7 +36,6 @@
 /* After a pause, an upstream that had the part may get it once more. */
 void fw_part_retry(struct fw_part *part, bool paused, gb_time now);
 void fw_part_missing(struct fw_part *part);
-gb_time fw_hedge_delay(const struct fw_part *part, gb_time now);
 
 /* Answers the request if it can be answered, or can no longer succeed. */
 void fw_settle(struct fw_request *request, gb_time now);
--- a/packages/forward/fw-part.c
+++ b/packages/forward/fw-part.c
@@ -1,16 +1,5 @@
 #include "forward/fw-internal.h"
 
-/*
- * A hedge is due after this many times the usual time: soon while the budget
- * is full, later the less of it is left.
- */
-#define HEDGE_SOON 2.0
-#define HEDGE_LATE 5.0
-#define BUDGET_FULL 0.6
-
-/* Time on the network that the usual time of a fast kind hides. */
-#define HEDGE_EXTRA (3 * GB_MSEC)
-
 /* Pause before the same upstreams are tried again. */
 #define RETRY_MIN (5 * GB_MSEC)
 #define RETRY_MAX (50 * GB_MSEC)
@@ -18,17 +7,6 @@
 /* Upstreams of a service that are looked at for a second send to one. */
 #define FW_AGAIN_MAX 64
 
-gb_time fw_hedge_delay(const struct fw_part *part, gb_time now)
-{
-	const struct fw_request *request = part->request;
-	double level =
-		bud_level(part->service->data, &request->engine->budget, now);
-	double spent = 1 - MIN(level / BUDGET_FULL, 1);
-	double times = HEDGE_SOON + (HEDGE_LATE - HEDGE_SOON) * spent;
-
-	return times * fw_usual(request) + HEDGE_EXTRA;
-}
-
 /* A call that reached its upstream; only those count as attempts. */
 static bool has_reached(const struct fw_call *call)
 {
--- /dev/null
+++ b/packages/front/fr-event.c
@@ -0,0 +1,6 @@
+#include "front/fr-internal.h"
+
+void fr_event(struct fr *fr, const struct ev_event *event)
+{
+	ev_log_add(&fr->log, event, ht_now());
+}
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -34,11 +34,6 @@
 
 static void on_tick(uv_timer_t *timer);
 
-void fr_event(struct fr *fr, const struct ev_event *event)
-{
-	ev_log_add(&fr->log, event, ht_now());
-}
-
 static void say(struct fr *fr, enum ev_code code)
 {
 	const struct ev_event event = { .code = code };
--- a/packages/mirror/mir.c
+++ b/packages/mirror/mir.c
@@ -26,16 +26,6 @@
 	bool synced;
 };
 
-static guint str_hash(gconstpointer key)
-{
-	return gb_hash(*(const struct gb_str *)key, 0);
-}
-
-static gboolean str_equal(gconstpointer a, gconstpointer b)
-{
-	return gb_str_eq(*(const struct gb_str *)a, *(const struct gb_str *)b);
-}
-
 static void unref(gpointer data)
 {
 	struct entry *entry = data;
@@ -59,8 +49,8 @@
 {
 	struct mir_table *table = g_new0(struct mir_table, 1);
 
-	table->objects =
-		g_hash_table_new_full(str_hash, str_equal, NULL, unref);
+	table->objects = g_hash_table_new_full(gb_str_key_hash,
+					       gb_str_key_equal, NULL, unref);
 	g_queue_init(&table->changes);
 	g_queue_init(&table->pending);
 	return table;
--- a/packages/route/rt-table.c
+++ b/packages/route/rt-table.c
@@ -7,18 +7,6 @@
 #define DEFAULT_HEAD_TIMEOUT (3 * GB_SEC)
 #define DEFAULT_IDLE_TIMEOUT (15 * GB_SEC)
 
-static guint str_hash(gconstpointer key)
-{
-	const struct gb_str *s = key;
-
-	return gb_hash(*s, 0);
-}
-
-static gboolean str_equal(gconstpointer a, gconstpointer b)
-{
-	return gb_str_eq(*(const struct gb_str *)a, *(const struct gb_str *)b);
-}
-
 static guint place_hash(gconstpointer key)
 {
 	const struct rt_route *route = key;
@@ -67,7 +55,7 @@
 	table->routes = g_ptr_array_new_with_free_func(free_route);
 	table->services = g_ptr_array_new_with_free_func(free_service);
 	table->by_place = g_hash_table_new(place_hash, place_equal);
-	table->by_name = g_hash_table_new(str_hash, str_equal);
+	table->by_name = g_hash_table_new(gb_str_key_hash, gb_str_key_equal);
 	table->refs = 1;
 	return table;
 }
--- a/packages/settings/set-option.h
+++ b/packages/settings/set-option.h
@@ -57,6 +57,12 @@
 extern const struct set_type set_type_endpoint; /* "ADDRESS:PORT" */
 extern const struct set_type set_type_endpoints; /* with commas */
 
+/* The text of an option of a type that keeps text. */
+void set_replace_text(const struct set_option *option, struct gb_str value,
+		      struct set_settings *settings);
+void set_release_text(const struct set_option *option,
+		      struct set_settings *settings);
+
 const struct set_option *set_options(size_t *len);
 
 /* Finds an option; returns the length of the table if there is none. */
--- a/packages/settings/set-type-front.c
+++ b/packages/settings/set-type-front.c
@@ -72,19 +72,6 @@
 		    option->max);
 }
 
-static void release_text(const struct set_option *option,
-			 struct set_settings *settings)
-{
-	gb_str_free(TARGET(struct gb_str, option, settings));
-}
-
-static void replace(const struct set_option *option, struct gb_str value,
-		    struct set_settings *settings)
-{
-	release_text(option, settings);
-	*TARGET(struct gb_str, option, settings) = gb_str_dup(value);
-}
-
 static bool is_endpoint(struct gb_str value)
 {
 	struct gb_str host;
@@ -100,7 +87,7 @@
 {
 	if (value.len ? !is_endpoint(value) : option->required != 0)
 		return GB_ERR_WRONG_TYPE;
-	replace(option, value, settings);
+	set_replace_text(option, value, settings);
 	return GB_OK;
 }
 
@@ -115,7 +102,7 @@
 		if (!is_endpoint(gb_str_trim(item)))
 			return GB_ERR_WRONG_TYPE;
 	}
-	replace(option, value, settings);
+	set_replace_text(option, value, settings);
 	return GB_OK;
 }
 
@@ -141,7 +128,7 @@
 					  .allowed = allowed_real_s };
 const struct set_type set_type_endpoint = { .parse = parse_endpoint,
 					    .allowed = allowed_endpoint,
-					    .release = release_text };
+					    .release = set_release_text };
 const struct set_type set_type_endpoints = { .parse = parse_endpoints,
 					     .allowed = allowed_endpoints,
-					     .release = release_text };
+					     .release = set_release_text };
--- a/packages/settings/set-type.c
+++ b/packages/settings/set-type.c
@@ -29,10 +29,6 @@
 static void allowed_number(const struct set_option *option, struct gb_buf *out);
 static void allowed_ms(const struct set_option *option, struct gb_buf *out);
 static void allowed_s(const struct set_option *option, struct gb_buf *out);
-static void replace(const struct set_option *option, struct gb_str value,
-		    struct set_settings *settings);
-static void release_text(const struct set_option *option,
-			 struct set_settings *settings);
 static enum gb_code parse_name(const struct set_option *option,
 			       struct gb_str value,
 			       struct set_settings *settings);
@@ -69,13 +65,13 @@
 const struct set_type set_type_s = { .parse = parse_s, .allowed = allowed_s };
 const struct set_type set_type_name = { .parse = parse_name,
 					.allowed = allowed_name,
-					.release = release_text };
+					.release = set_release_text };
 const struct set_type set_type_choice = { .parse = parse_choice,
 					  .allowed = allowed_choice,
-					  .release = release_text };
+					  .release = set_release_text };
 const struct set_type set_type_address = { .parse = parse_address,
 					   .allowed = allowed_address,
-					   .release = release_text };
+					   .release = set_release_text };
 const struct set_type set_type_seeds = { .parse = parse_seeds,
 					 .allowed = allowed_seeds,
 					 .release = release_seeds };
@@ -170,15 +166,15 @@
 	gb_buf_add(out, GB_STR(" seconds"));
 }
 
-static void replace(const struct set_option *option, struct gb_str value,
-		    struct set_settings *settings)
+void set_replace_text(const struct set_option *option, struct gb_str value,
+		      struct set_settings *settings)
 {
-	release_text(option, settings);
+	set_release_text(option, settings);
 	*TARGET(struct gb_str, option, settings) = gb_str_dup(value);
 }
 
-static void release_text(const struct set_option *option,
-			 struct set_settings *settings)
+void set_release_text(const struct set_option *option,
+		      struct set_settings *settings)
 {
 	gb_str_free(TARGET(struct gb_str, option, settings));
 }
@@ -196,7 +192,7 @@
 		if (!g_ascii_isgraph(value.ptr[i]) || value.ptr[i] == '"' ||
 		    value.ptr[i] == '/')
 			return GB_ERR_WRONG_TYPE;
-	replace(option, value, settings);
+	set_replace_text(option, value, settings);
 	return GB_OK;
 }
 
@@ -224,7 +220,7 @@
 {
 	if (find_choice(option, value) == option->choices_len)
 		return GB_ERR_OUT_OF_RANGE;
-	replace(option, value, settings);
+	set_replace_text(option, value, settings);
 	return GB_OK;
 }
 
@@ -256,7 +252,7 @@
 {
 	if (!set_is_address(value))
 		return GB_ERR_WRONG_TYPE;
-	replace(option, value, settings);
+	set_replace_text(option, value, settings);
 	return GB_OK;
 }
 
