--- a/packages/fleet/fl-fleet.c
+++ b/packages/fleet/fl-fleet.c
@@ -133,9 +133,11 @@
 	struct fl_upstream *upstream =
 		g_hash_table_lookup(fleet->upstreams, &entry->id);
 
+	bool is_new = !upstream;
+
 	if (upstream && entry->born < upstream->born)
 		return NULL;
-	if (!upstream)
+	if (is_new)
 		upstream = new_upstream(fleet, entry->id);
 	else if (entry->born != upstream->born ||
 		 !gb_str_eq(entry->address, upstream->address))
@@ -147,8 +149,9 @@
 	replace(&upstream->dc, entry->dc);
 	move_service(upstream, fl_service(fleet, entry->service));
 	take_cold(upstream, now, entry->cold);
+	/* One that is leaving when it is first seen may have left long ago. */
 	if (entry->leaving && !upstream->leaving)
-		upstream->left_at = now;
+		upstream->left_at = is_new ? now - fleet->settings.linger : now;
 	upstream->leaving = entry->leaving;
 	return upstream;
 }
--- a/packages/http/ht-server.c
+++ b/packages/http/ht-server.c
@@ -381,10 +381,15 @@
 	}
 }
 
-void ht_server_stop(struct ht_server *server)
+void ht_server_drop(struct ht_server *server)
 {
 	while (server->conns.length)
 		close_conn(server->conns.head->data);
+}
+
+void ht_server_stop(struct ht_server *server)
+{
+	ht_server_drop(server);
 	if (!uv_is_closing((uv_handle_t *)&server->listener))
 		uv_close((uv_handle_t *)&server->listener, NULL);
 }
--- a/packages/http/ht-server.h
+++ b/packages/http/ht-server.h
@@ -76,6 +76,9 @@
 /* Closes connections that were idle or took too long to send a head. */
 void ht_server_sweep(struct ht_server *server, gb_time now);
 
+/* Closes all connections and goes on listening. */
+void ht_server_drop(struct ht_server *server);
+
 /* Closes the listening socket and all connections. */
 void ht_server_stop(struct ht_server *server);
 
