--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 	$(if $(CTL_SRC),$(BUILD)/gentianctl)
 
 .PHONY: all check demo bench matrix install-deps format format-check lint \
-	unit docs-check scenario process emulate asan clean
+	unit docs-check scenario process emulate soak asan clean
 .SECONDARY:
 
 all: $(BINARIES) $(EMULATOR) $(STANDINS) $(SCENARIOS) $(MATRIX) $(BENCHES) $(UNITS)
@@ -134,6 +134,12 @@
 emulate: all
 	tests/run-emulator $(BUILD)
 
+# Seeds that every run of the checks plays; seeds that ever failed stay here.
+SOAK_SEEDS = 1,2
+
+soak: all
+	tests/run-soak $(BUILD) $(or $(SEED),$(SOAK_SEEDS))
+
 asan:
 	$(MAKE) -j8 BUILD=build-asan CFLAGS="-O1 -g" \
 		SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer" \
