--- a/packages/http/ht-client.c
+++ b/packages/http/ht-client.c
@@ -459,23 +459,6 @@
 	call->target = NULL;
 }
 
-void ht_target_drop_idle(struct ht_target *target)
-{
-	while (target->idle.length)
-		close_link(target->idle.head->data);
-}
-
-void ht_target_sweep(struct ht_target *target, gb_time now)
-{
-	while (target->idle.length) {
-		struct ht_link *link = target->idle.tail->data;
-
-		if (link->idle_until > now)
-			return;
-		close_link(link);
-	}
-}
-
 void ht_target_free(struct ht_target *target)
 {
 	target->freed = true;
@@ -483,8 +466,10 @@
 		g_free(target);
 		return;
 	}
+	/* Keeps the target until its last connection is closed here. */
 	target->open++;
-	ht_target_drop_idle(target);
+	while (target->idle.length)
+		close_link(target->idle.head->data);
 	target->open--;
 	release_target(target);
 }
--- a/packages/http/ht-client.h
+++ b/packages/http/ht-client.h
@@ -78,8 +78,6 @@
 
 /* Closes idle connections; running calls end as usual. */
 void ht_target_free(struct ht_target *target);
-void ht_target_drop_idle(struct ht_target *target);
-void ht_target_sweep(struct ht_target *target, gb_time now);
 
 void ht_call_start(struct ht_call *call, struct ht_target *target,
 		   const struct ht_call_ops *ops);
--- a/packages/mirror/mir.c
+++ b/packages/mirror/mir.c
@@ -135,11 +135,6 @@
 	}
 }
 
-bool mir_synced(const struct mir_table *table)
-{
-	return table->synced;
-}
-
 int64_t mir_revision(const struct mir_table *table)
 {
 	return table->revision;
--- a/packages/mirror/mir.h
+++ b/packages/mirror/mir.h
@@ -43,7 +43,6 @@
 /* Ends the changes that were read: all up to the revision are known. */
 void mir_changes_end(struct mir_table *table, int64_t revision);
 
-bool mir_synced(const struct mir_table *table);
 int64_t mir_revision(const struct mir_table *table);
 
 typedef void (*mir_visit)(void *ctx, const struct mir_object *object);
