front: keep exclusions until a list has been read to its end

Cause: fr-directory ended all exclusions of data centres before it read a list of them. A list that could not be parsed, that was older than what is known, or whose second page was still to come lifted them until the next good list.

Change: an exclusion that a list does not name ends with the last page of the list, as upstreams do. The log names it then, and names an exclusion that a new list repeats only once.

--- a/packages/fleet/fl-fleet.c
+++ b/packages/fleet/fl-fleet.c
@@ -23,14 +23,6 @@
 	g_free(upstream);
 }
 
-static void free_key(gpointer data)
-{
-	struct gb_str *key = data;
-
-	gb_str_free(key);
-	g_free(key);
-}
-
 struct fl_fleet *fl_new(const struct fl_settings *settings,
 			const struct fl_ops *ops, const struct fl_share *share,
 			void *ctx, struct gb_rng *rng)
@@ -46,8 +38,7 @@
 		gb_str_key_hash, gb_str_key_equal, NULL, free_service);
 	fleet->upstreams = g_hash_table_new_full(
 		gb_str_key_hash, gb_str_key_equal, NULL, free_upstream);
-	fleet->excluded = g_hash_table_new_full(
-		gb_str_key_hash, gb_str_key_equal, free_key, NULL);
+	fleet->excluded = fl_exclusions_new();
 	return fleet;
 }
 
@@ -197,24 +188,6 @@
 	}
 }
 
-void fl_exclude(struct fl_fleet *fleet, struct gb_str dc, bool excluded)
-{
-	struct gb_str *key;
-
-	if (!excluded) {
-		g_hash_table_remove(fleet->excluded, &dc);
-		return;
-	}
-	key = g_new(struct gb_str, 1);
-	*key = gb_str_dup(dc);
-	g_hash_table_add(fleet->excluded, key);
-}
-
-void fl_include_all(struct fl_fleet *fleet)
-{
-	g_hash_table_remove_all(fleet->excluded);
-}
-
 size_t fl_len(const struct fl_fleet *fleet)
 {
 	return g_hash_table_size(fleet->upstreams);
--- a/packages/fleet/fl-internal.h
+++ b/packages/fleet/fl-internal.h
@@ -16,9 +16,12 @@
 	struct gb_rng *rng;
 	GHashTable *services; /* name to struct fl_service */
 	GHashTable *upstreams; /* id to struct fl_upstream */
-	GHashTable *excluded; /* names of data centres */
+	GHashTable *excluded; /* data centre to struct exclusion */
 };
 
+GHashTable *fl_exclusions_new(void);
+bool fl_is_excluded(const struct fl_fleet *fleet, struct gb_str dc);
+
 /* Tells whether this VM's part of a cold upstream's rate has room. */
 bool fl_cold_room(const struct fl_fleet *fleet, struct fl_upstream *upstream,
 		  gb_time now);
--- a/packages/fleet/fl-score.c
+++ b/packages/fleet/fl-score.c
@@ -179,7 +179,7 @@
 static enum rank rank(const struct fl_fleet *fleet,
 		      struct fl_upstream *upstream, gb_time now, gb_time *wait)
 {
-	if (g_hash_table_contains(fleet->excluded, &upstream->dc))
+	if (fl_is_excluded(fleet, upstream->dc))
 		return RANK_NONE;
 	if (upstream->down_until > now) {
 		*wait = MIN(*wait, upstream->down_until - now);
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -97,6 +97,8 @@
 struct fl_ops {
 	/* The process behind an upstream is another one, or it is gone. */
 	void (*forget)(void *ctx, struct fl_upstream *upstream);
+	/* A list no longer names the exclusion of a data centre. */
+	void (*included)(void *ctx, struct gb_str dc);
 };
 
 struct fl_fleet *fl_new(const struct fl_settings *settings,
@@ -116,9 +118,16 @@
 void fl_list_begin(struct fl_fleet *fleet);
 void fl_list_end(struct fl_fleet *fleet, gb_time now);
 
-/* Sends nothing more to a data centre, or ends that. */
-void fl_exclude(struct fl_fleet *fleet, struct gb_str dc, bool excluded);
-void fl_include_all(struct fl_fleet *fleet);
+/*
+ * Sends nothing more to a data centre, or ends that; tells whether it was
+ * otherwise before.
+ */
+bool fl_exclude(struct fl_fleet *fleet, struct gb_str dc, bool excluded);
+
+/* Between these, fl_exclude() names all exclusions; the others end. */
+void fl_exclusions_begin(struct fl_fleet *fleet);
+void fl_exclusions_end(struct fl_fleet *fleet);
+
 size_t fl_len(const struct fl_fleet *fleet);
 
 /* Forgets upstreams that have left and run nothing of this VM. */
--- a/packages/fleet/tests/fleet-test.c
+++ b/packages/fleet/tests/fleet-test.c
@@ -21,6 +21,13 @@
 			    upstream->id.ptr);
 }
 
+static void on_included(void *data, struct gb_str dc)
+{
+	struct ctx *ctx = data;
+
+	gb_buf_addf(ctx->out, "  includes %.*s\n", (int)dc.len, dc.ptr);
+}
+
 static uint32_t vms(void *data)
 {
 	struct ctx *ctx = data;
@@ -38,7 +45,8 @@
 
 static void *open_ctx(void)
 {
-	static const struct fl_ops ops = { .forget = on_forget };
+	static const struct fl_ops ops = { .forget = on_forget,
+					   .included = on_included };
 	static const struct fl_share share = { .vms = vms, .rank = rank };
 	const struct fl_settings settings = { .dc = GB_STR_INIT("here"),
 					      .hop = 6 * GB_MSEC,
@@ -115,6 +123,18 @@
 		   scr_int(args, GB_STR("on"), 1));
 }
 
+static void cmd_exclusions(void *data, const struct scr_args *args,
+			   struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	ctx->out = out;
+	if (gb_str_eq(scr_word(args, 0), GB_STR("begin")))
+		fl_exclusions_begin(ctx->fleet);
+	else
+		fl_exclusions_end(ctx->fleet);
+}
+
 static void cmd_limits(void *data, const struct scr_args *args,
 		       struct gb_buf *out)
 {
@@ -265,6 +285,7 @@
 		{ GB_STR_INIT("remove"), cmd_remove },
 		{ GB_STR_INIT("list"), cmd_list },
 		{ GB_STR_INIT("exclude"), cmd_exclude },
+		{ GB_STR_INIT("exclusions"), cmd_exclusions },
 		{ GB_STR_INIT("limits"), cmd_limits },
 		{ GB_STR_INIT("wait"), cmd_wait },
 		{ GB_STR_INIT("pick"), cmd_pick },
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -107,8 +107,8 @@
 		.dc = dc,
 	};
 
-	fl_exclude(fr->fleet, dc, excluded);
-	fr_event(fr, &event);
+	if (fl_exclude(fr->fleet, dc, excluded))
+		fr_event(fr, &event);
 }
 
 static void on_object(void *ctx, enum fr_kind kind,
@@ -128,7 +128,10 @@
 	.bad = on_bad,
 };
 
-/* The objects that a list does not name are gone. */
+/*
+ * The objects that a list does not name are gone once its last page was read;
+ * a page that cannot be taken ends none.
+ */
 static void begin_list(struct fr_follow *follow)
 {
 	if (follow->follower.after.len)
@@ -137,7 +140,7 @@
 	if (follow->kind == FR_UPSTREAMS)
 		fl_list_begin(follow->fr->fleet);
 	if (follow->kind == FR_EXCLUSIONS)
-		fl_include_all(follow->fr->fleet);
+		fl_exclusions_begin(follow->fr->fleet);
 }
 
 static void end_list(struct fr_follow *follow, const struct fr_page *page)
@@ -153,6 +156,8 @@
 		return;
 	if (follow->kind == FR_UPSTREAMS)
 		fl_list_end(follow->fr->fleet, ht_now());
+	if (follow->kind == FR_EXCLUSIONS)
+		fl_exclusions_end(follow->fr->fleet);
 	fr_event(follow->fr, &event);
 }
 
--- a/packages/front/fr-upstream.c
+++ b/packages/front/fr-upstream.c
@@ -129,7 +129,15 @@
 		ht_target_free(target);
 }
 
-const struct fl_ops fr_fleet_ops = { .forget = on_forget };
+static void on_included(void *ctx, struct gb_str dc)
+{
+	const struct ev_event event = { .code = EV_DC_INCLUDED, .dc = dc };
+
+	fr_event(ctx, &event);
+}
+
+const struct fl_ops fr_fleet_ops = { .forget = on_forget,
+				     .included = on_included };
 
 static uint32_t share_vms(void *ctx)
 {
