bench: cost of a sub-request on role front beside a bare exchange

bench-daemon gains three rows, in which one VM of role front stands beside the emulator: processor time, system calls that read or write, and wake-ups of a sub-request, each beside a libuv echo that gets as many exchanges a second.

--- a/bench/daemon-main.c
+++ b/bench/daemon-main.c
@@ -33,6 +33,14 @@
 	void (*measure)(const char *build, const struct run *run);
 };
 
+/* What one exchange costs the echo. */
+struct echo {
+	double cpu_us;
+	double calls;
+	double wakeups;
+	struct bdm_load_result load;
+};
+
 static struct sample take_sample(const struct bdm_tier *tier);
 static void measure_load(const char *build, const struct run *run);
 static void measure_echo(const char *build, const struct run *run);
@@ -40,6 +48,9 @@
 static void find_sizes(const char *build, struct bdm_echo_sizes *sizes);
 static double echo_cost(const char *build, uint32_t connections,
 			gb_time duration, struct bdm_load_result *result);
+static void echo_measure(const char *build, const struct bdm_load_options *load,
+			 struct echo *echo);
+static void measure_front(const char *build, const struct run *run);
 static void note_rss(void *data);
 static void on_stop(int number);
 
@@ -54,6 +65,9 @@
 	{ GB_STR_INIT("one-open-20"), 1, 20, 64, 400, measure_load },
 	{ GB_STR_INIT("four-open-20"), 4, 20, 64, 400, measure_load },
 	{ GB_STR_INIT("one-open-420"), 1, 420, 64, 20, measure_load },
+	{ GB_STR_INIT("front-20"), 1, 20, 100, 250, measure_front },
+	{ GB_STR_INIT("front-20-full"), 1, 20, 100, 1000, measure_front },
+	{ GB_STR_INIT("front-90"), 1, 90, 100, 80, measure_front },
 	{ GB_STR_INIT("memory"), 1, 20, 1000, 0, measure_memory },
 };
 
@@ -134,23 +148,20 @@
 	bdm_tier_free(tier);
 }
 
-/* CPU time of one exchange with the echo, in microseconds. */
-static double echo_cost(const char *build, uint32_t connections,
-			gb_time duration, struct bdm_load_result *result)
+/* Ports and the number of them are those of the echo that is started here. */
+static void echo_measure(const char *build, const struct bdm_load_options *load,
+			 struct echo *echo)
 {
 	static struct bdm_echo_sizes sizes;
 	uint16_t port = bdm_ports(1);
 	char *self = g_file_read_link("/proc/self/exe", NULL);
-	struct bdm_load_options load = { .protocol = &bdm_echo,
-					 .ports = &port,
-					 .ports_len = 1,
-					 .connections = connections,
-					 .duration = duration };
+	struct bdm_load_options options = *load;
 	struct bdm_usage before, after;
 	char text[3][16];
 	char *argv[] = {
 		self, (char *)"--echo", text[0], text[1], text[2], NULL
 	};
+	double good;
 	pid_t pid;
 
 	if (!sizes.request)
@@ -161,12 +172,53 @@
 	pid = bdm_start(argv);
 	g_usleep(200000);
 	bdm_echo_sizes(&sizes);
+	options.protocol = &bdm_echo;
+	options.ports = &port;
+	options.ports_len = 1;
 	before = bdm_usage(pid);
-	bdm_load_run(&load, result);
+	bdm_load_run(&options, &echo->load);
 	after = bdm_usage(pid);
 	bdm_stop(pid);
 	g_free(self);
-	return 1e6 * (after.cpu - before.cpu) / (double)result->good;
+	good = (double)echo->load.good;
+	echo->cpu_us = 1e6 * (after.cpu - before.cpu) / good;
+	echo->calls = (double)(after.calls - before.calls) / good;
+	echo->wakeups = (double)(after.wakeups - before.wakeups) / good;
+}
+
+/* CPU time of one exchange with the echo, in microseconds. */
+static double echo_cost(const char *build, uint32_t connections,
+			gb_time duration, struct bdm_load_result *result)
+{
+	const struct bdm_load_options load = { .connections = connections,
+					       .duration = duration };
+	struct echo echo;
+
+	echo_measure(build, &load, &echo);
+	*result = echo.load;
+	return echo.cpu_us;
+}
+
+/* The echo gets as many exchanges a second as the VM has sub-requests. */
+static void measure_front(const char *build, const struct run *run)
+{
+	const struct bdm_front_options options = { .build = build,
+						   .shards = run->shards,
+						   .rate = run->rate };
+	struct bdm_load_options load = { .connections = run->connections,
+					 .duration = MEASURE };
+	struct bdm_front_result front;
+	struct echo echo;
+
+	bdm_front_measure(&options, &front);
+	load.rate = front.subs;
+	echo_measure(build, &load, &echo);
+	printf("%.*s: %.0f queries/s, %.0f sub-requests/s; a sub-request costs "
+	       "%.1f us of CPU,\n  %.2f calls that read or write, %.2f "
+	       "wake-ups; the echo %.1f us, %.2f, %.2f; x echo %.2f\n",
+	       (int)run->name.len, run->name.ptr, front.queries, front.subs,
+	       front.cpu_us, front.calls, front.wakeups, echo.cpu_us,
+	       echo.calls, echo.wakeups, front.cpu_us / echo.cpu_us);
 }
 
 static void measure_echo(const char *build, const struct run *run)
--- a/bench/daemon-process.c
+++ b/bench/daemon-process.c
@@ -14,7 +14,7 @@
 #define PORT_END 32000
 
 static bool port_is_free(uint16_t port);
-static uint64_t status_field(pid_t pid, const char *name);
+static uint64_t proc_field(pid_t pid, const char *file, const char *name);
 
 pid_t bdm_start(char *const *argv)
 {
@@ -43,13 +43,13 @@
 	waitpid(pid, NULL, 0);
 }
 
-static uint64_t status_field(pid_t pid, const char *name)
+static uint64_t proc_field(pid_t pid, const char *file_name, const char *name)
 {
 	char path[64], line[256];
 	uint64_t value = 0;
 	FILE *file;
 
-	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	snprintf(path, sizeof(path), "/proc/%d/%s", (int)pid, file_name);
 	file = fopen(path, "r");
 	if (!file)
 		return 0;
@@ -82,7 +82,10 @@
 			 &user, &system) == 2)
 		usage.cpu =
 			(double)(user + system) / (double)sysconf(_SC_CLK_TCK);
-	usage.rss = status_field(pid, "VmRSS:") * 1024;
+	usage.rss = proc_field(pid, "status", "VmRSS:") * 1024;
+	usage.calls = proc_field(pid, "io", "syscr:") +
+		      proc_field(pid, "io", "syscw:");
+	usage.wakeups = proc_field(pid, "status", "voluntary_ctxt_switches:");
 	return usage;
 }
 
--- a/bench/daemon-tier.c
+++ b/bench/daemon-tier.c
@@ -317,25 +317,31 @@
 	return most;
 }
 
-uint64_t bdm_tier_counter(const struct bdm_tier *tier, struct gb_str name)
+uint64_t bdm_counter(uint16_t port, struct gb_str name)
 {
 	static const struct gb_str request =
 		GB_STR_INIT("GET /metrics HTTP/1.1\r\nHost: " BDM_HOST
 			    "\r\nConnection: close\r\n\r\n");
 	struct gb_buf answer = GB_BUF_INIT, key = GB_BUF_INIT;
-	uint64_t sum = 0;
+	uint64_t value = 0;
+	const char *at;
 
 	gb_buf_addf(&key, "\n%.*s ", (int)name.len, name.ptr);
-	for (uint32_t i = 0; i < tier->options.daemons; i++) {
-		const char *at;
-
-		bdm_http(tier->http_port[i], request, &answer);
-		at = g_strstr_len(answer.ptr, answer.len, key.ptr);
-		if (at)
-			sum += g_ascii_strtoull(at + key.len, NULL, 10);
-	}
+	bdm_http(port, request, &answer);
+	at = g_strstr_len(answer.ptr, answer.len, key.ptr);
+	if (at)
+		value = g_ascii_strtoull(at + key.len, NULL, 10);
 	gb_buf_free(&key);
 	gb_buf_free(&answer);
+	return value;
+}
+
+uint64_t bdm_tier_counter(const struct bdm_tier *tier, struct gb_str name)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < tier->options.daemons; i++)
+		sum += bdm_counter(tier->http_port[i], name);
 	return sum;
 }
 
--- a/bench/daemon.h
+++ b/bench/daemon.h
@@ -29,6 +29,8 @@
 struct bdm_usage {
 	double cpu; /* seconds of user and system time */
 	uint64_t rss; /* bytes */
+	uint64_t calls; /* system calls that read or write */
+	uint64_t wakeups; /* times that the process had to wait */
 };
 
 /* Starts a program; its output is dropped. The array ends with NULL. */
@@ -77,6 +79,31 @@
 /* One exchange over a connection of its own; returns the HTTP status. */
 int bdm_http(uint16_t port, struct gb_str request, struct gb_buf *answer);
 
+/* Reads one counter of the metrics at a port. */
+uint64_t bdm_counter(uint16_t port, struct gb_str name);
+
+/*
+ * FRONT
+ *	One VM of role front beside the emulator, which plays the store, the
+ *	upstreams and the callers. Half of the requests go to all shards.
+ */
+struct bdm_front_options {
+	const char *build; /* directory of the programs */
+	uint32_t shards;
+	uint32_t rate; /* requests/s */
+};
+
+struct bdm_front_result {
+	double queries; /* per second */
+	double subs; /* sub-requests/s */
+	double cpu_us; /* of the VM, for each sub-request */
+	double calls;
+	double wakeups;
+};
+
+void bdm_front_measure(const struct bdm_front_options *options,
+		       struct bdm_front_result *result);
+
 /*
  * LOAD
  *	Sends requests of a protocol over a fixed number of connections, each
