daemon: one HTTP client for both roles

Cause: role vm sent to upstreams and to the platform over gd-client and gd-link, a second HTTP client beside packages/http with its own pool, queue and parser loop; the two called each other.

Change: gd-client keeps what is its own, the time limit of an exchange and the end of the loop turn, and sends over ht-client. ht-client is cut in two: ht-link carries one connection and reports to the pool through a table of functions. New for both roles: an idle connection is looked at before a request if it was idle for more than a second, and a connection whose request was withdrawn is kept. A target has its own idle time and may refuse answers without a length, as role vm does.

--- a/packages/daemon/gd-client.c
+++ b/packages/daemon/gd-client.c
@@ -1,4 +1,4 @@
-#include "daemon/gd-link.h"
+#include "daemon/gd.h"
 
 /* Interval of the search for connections that were idle for too long. */
 #define SWEEP_MS 10000
@@ -6,17 +6,32 @@
 /* An endpoint without exchanges is forgotten after this time. */
 #define UNUSED_MS (10 * 60 * 1000)
 
+/*
+ * An idle connection is kept, since a new one may cost 6 ms, but given up
+ * before an upstream's usual limit of 60 s: a request that meets its close
+ * counts as lost.
+ */
+#define IDLE_MAX (30 * GB_SEC)
+
 static void on_unused(uv_timer_t *timer);
 static void on_unused_closed(uv_handle_t *handle);
 static guint endpoint_hash(gconstpointer key);
 static gboolean endpoint_equal(gconstpointer a, gconstpointer b);
-static void endpoint_pump_later(struct gd_endpoint *endpoint);
-static void endpoint_pump(struct gd *gd, void *arg);
-static void exchange_connect(struct gd_exchange *x);
+static bool on_encode(struct ht_call *call, struct gb_buf *out);
+static enum ht_verdict on_head(struct ht_call *call,
+			       const struct ht_response *head);
+static void on_done(struct ht_call *call, enum ht_outcome outcome);
+static void end_exchange(struct gd_exchange *x, enum gd_outcome outcome);
 static void on_exchange_closed(uv_handle_t *handle);
 static void on_timeout(uv_timer_t *timer);
 static void on_sweep(uv_timer_t *timer);
 
+static const struct ht_call_ops call_ops = {
+	.encode = on_encode,
+	.head = on_head,
+	.done = on_done,
+};
+
 void gd_client_init(struct gd *gd)
 {
 	struct gd_client *client = &gd->client;
@@ -34,8 +49,11 @@
 	gpointer key;
 
 	g_hash_table_iter_init(&iter, gd->client.endpoints);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		gd_link_expire(key, gd_now());
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct gd_endpoint *endpoint = key;
+
+		ht_target_expire(endpoint->target, gd_now());
+	}
 }
 
 static guint endpoint_hash(gconstpointer key)
@@ -58,8 +76,7 @@
 	struct gd_endpoint *endpoint = timer->data;
 
 	g_hash_table_remove(endpoint->gd->client.endpoints, endpoint);
-	while (endpoint->idle.length)
-		gd_link_close(g_queue_peek_head(&endpoint->idle));
+	ht_target_free(endpoint->target);
 	uv_close((uv_handle_t *)timer, on_unused_closed);
 }
 
@@ -71,63 +88,52 @@
 	g_free(endpoint);
 }
 
+/* Opens the target of a host and port; NULL for a bad host. */
+static struct ht_target *open_target(struct gd *gd, struct gb_str host,
+				     uint16_t port)
+{
+	struct gb_buf address = GB_BUF_INIT;
+	struct ht_target *target;
+
+	gb_buf_add(&address, host);
+	gb_buf_addf(&address, ":%u", port);
+	target = ht_target_new(gd->uv, gb_buf_str(&address), 1);
+	gb_buf_free(&address);
+	if (!target)
+		return NULL;
+	target->idle_max = IDLE_MAX;
+	target->framed_only = true;
+	return target;
+}
+
 struct gd_endpoint *gd_endpoint(struct gd *gd, struct gb_str host,
 				uint16_t port, uint32_t limit)
 {
 	const struct gd_endpoint key = { .host = host, .port = port };
 	struct gd_endpoint *endpoint =
 		g_hash_table_lookup(gd->client.endpoints, &key);
-	struct sockaddr_storage addr = { 0 };
-	socklen_t len;
-
-	if (endpoint)
-		goto out;
-	if (gd_address(host, port, &addr, &len))
-		goto out;
-	endpoint = g_new0(struct gd_endpoint, 1);
-	endpoint->gd = gd;
-	endpoint->host = gb_str_dup(host);
-	endpoint->port = port;
-	g_queue_init(&endpoint->waiting);
-	uv_timer_init(gd->uv, &endpoint->unused);
-	endpoint->unused.data = endpoint;
-	endpoint->addr = addr;
-	g_queue_init(&endpoint->idle);
-	g_hash_table_add(gd->client.endpoints, endpoint);
-out:
-	if (endpoint)
-		endpoint->limit = MAX(limit, 1);
+	struct ht_target *target;
+
+	if (!endpoint) {
+		target = open_target(gd, host, port);
+		if (!target)
+			return NULL;
+		endpoint = g_new0(struct gd_endpoint, 1);
+		endpoint->gd = gd;
+		endpoint->host = gb_str_dup(host);
+		endpoint->port = port;
+		endpoint->target = target;
+		uv_timer_init(gd->uv, &endpoint->unused);
+		endpoint->unused.data = endpoint;
+		g_hash_table_add(gd->client.endpoints, endpoint);
+	}
+	endpoint->target->limit = MAX(limit, 1);
 	return endpoint;
 }
 
-/*
- * The next exchange starts at the end of the loop turn, outside of the outputs
- * of the node and of the exchange that ends.
- */
-static void endpoint_pump_later(struct gd_endpoint *endpoint)
-{
-	if (endpoint->pumping || !endpoint->waiting.length)
-		return;
-	endpoint->pumping = true;
-	gd_defer(endpoint->gd, endpoint_pump, endpoint);
-}
-
-static void endpoint_pump(struct gd *gd, void *arg)
-{
-	struct gd_endpoint *endpoint = arg;
-
-	(void)gd;
-	endpoint->pumping = false;
-	while (endpoint->waiting.length && endpoint->active < endpoint->limit)
-		exchange_connect(g_queue_pop_head(&endpoint->waiting));
-}
-
 bool gd_endpoint_lost(struct gd_endpoint *endpoint)
 {
-	bool lost = endpoint->lost;
-
-	endpoint->lost = false;
-	return lost;
+	return ht_target_lost(endpoint->target);
 }
 
 void gd_exchange_start(struct gd *gd, struct gd_exchange *x,
@@ -135,42 +141,71 @@
 		       bool urgent)
 {
 	x->endpoint = endpoint;
+	endpoint->exchanges++;
 	uv_timer_stop(&endpoint->unused);
 	uv_timer_init(gd->uv, &x->timer);
 	x->timer.data = x;
 	uv_update_time(gd->uv);
 	uv_timer_start(&x->timer, on_timeout,
 		       (MAX(timeout, 0) + GB_MSEC - 1) / GB_MSEC, 0);
-	if (endpoint->active < endpoint->limit && !endpoint->waiting.length)
-		exchange_connect(x);
-	else if (urgent)
-		g_queue_push_head(&endpoint->waiting, x);
-	else
-		g_queue_push_tail(&endpoint->waiting, x);
+	x->call.urgent = urgent;
+	ht_call_start(&x->call, endpoint->target, &call_ops);
 }
 
-static void exchange_connect(struct gd_exchange *x)
+static struct gd_exchange *exchange_of(struct ht_call *call)
 {
-	struct gd_endpoint *endpoint = x->endpoint;
+	return (struct gd_exchange *)((char *)call -
+				      offsetof(struct gd_exchange, call));
+}
+
+static bool on_encode(struct ht_call *call, struct gb_buf *out)
+{
+	struct gd_exchange *x = exchange_of(call);
+
+	return x->prepare(x, out);
+}
+
+static enum ht_verdict on_head(struct ht_call *call,
+			       const struct ht_response *head)
+{
+	struct gd_exchange *x = exchange_of(call);
+
+	x->status = head->status;
+	for (size_t i = 0; x->header && i < head->fields_len; i++)
+		x->header(x, head->fields[i].name, head->fields[i].value);
+	x->rejected = x->accept && !x->accept(x);
+	return x->rejected ? HT_REJECT : HT_TAKE;
+}
+
+static void on_done(struct ht_call *call, enum ht_outcome outcome)
+{
+	struct gd_exchange *x = exchange_of(call);
 
-	x->active = true;
-	endpoint->active++;
-	gd_link_start(endpoint, x);
+	switch (outcome) {
+	case HT_ANSWERED:
+		end_exchange(x, GD_ANSWERED);
+		return;
+	case HT_NOT_SENT:
+		end_exchange(x, GD_NOT_SENT);
+		return;
+	case HT_LOST:
+		end_exchange(x, GD_LOST);
+		return;
+	case HT_GARBLED:
+		end_exchange(x, x->rejected ? GD_REJECTED : GD_LOST);
+		return;
+	}
 }
 
-void gd_exchange_end(struct gd_exchange *x, enum gd_outcome outcome)
+static void end_exchange(struct gd_exchange *x, enum gd_outcome outcome)
 {
 	struct gd_endpoint *endpoint = x->endpoint;
 
 	if (x->ended)
 		return;
 	x->ended = true;
-	if (x->active)
-		endpoint->active--;
-	else
-		g_queue_remove(&endpoint->waiting, x);
-	endpoint_pump_later(endpoint);
-	if (!endpoint->active && !endpoint->waiting.length)
+	endpoint->exchanges--;
+	if (!endpoint->exchanges)
 		uv_timer_start(&endpoint->unused, on_unused, UNUSED_MS, 0);
 	x->done(x, outcome);
 	uv_close((uv_handle_t *)&x->timer, on_exchange_closed);
@@ -185,27 +220,22 @@
 
 void gd_exchange_clear(struct gd_exchange *x)
 {
-	gb_buf_free(&x->request);
-	gb_buf_free(&x->body);
+	gb_buf_free(&x->call.body);
 }
 
 static void on_timeout(uv_timer_t *timer)
 {
 	struct gd_exchange *x = timer->data;
 
-	if (x->link)
-		gd_link_close(x->link);
-	x->link = NULL;
-	gd_exchange_end(x, x->sent ? GD_TIMEOUT : GD_NOT_SENT);
+	ht_call_cancel(&x->call);
+	end_exchange(x, x->call.sent ? GD_TIMEOUT : GD_NOT_SENT);
 }
 
 bool gd_exchange_withdraw(struct gd_exchange *x)
 {
-	if (x->sent || x->ended)
+	if (x->call.sent || x->ended)
 		return false;
-	if (x->link)
-		gd_link_close(x->link);
-	x->link = NULL;
-	gd_exchange_end(x, GD_NOT_SENT);
+	ht_call_cancel(&x->call);
+	end_exchange(x, GD_NOT_SENT);
 	return true;
 }
--- a/packages/daemon/gd-platform.c
+++ b/packages/daemon/gd-platform.c
@@ -176,7 +176,7 @@
 
 	if (!call->etag)
 		return NULL;
-	cfg = js_config_decode(gb_buf_str(&call->x.body), &err);
+	cfg = js_config_decode(gb_buf_str(&call->x.call.body), &err);
 	if (!cfg) {
 		gd_event(call->gd, EV_CONFIG_REFUSED, GB_STR(""), GB_STR(""),
 			 call->etag, err.code);
@@ -202,7 +202,7 @@
 	GArray *leaving = NULL;
 
 	if (result->status == ND_STORE_OK && result->op == ND_STORE_VMS) {
-		leaving = js_vms_decode(gb_buf_str(&call->x.body), NULL);
+		leaving = js_vms_decode(gb_buf_str(&call->x.call.body), NULL);
 		result->leaving = leaving ? (void *)leaving->data : NULL;
 		result->leaving_len = leaving ? leaving->len : 0;
 		if (!leaving)
--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/* Room for the head of a request, so that its buffer grows once. */
-#define HEAD_SIZE 448
-
 /* A cancellation is worth little after this time. */
 #define CANCEL_TIMEOUT GB_SEC
 
@@ -216,8 +213,6 @@
 
 	if (now >= request->expires || now >= call->deadline)
 		return false;
-	out->cap = HEAD_SIZE + request->body.len;
-	out->ptr = g_malloc(out->cap);
 	gb_buf_add(out, GB_STR("POST /shard/"));
 	put_number(out, request->shard);
 	gb_buf_add(out, request->order ? GB_STR("/order") : GB_STR("/lookup"));
@@ -328,7 +323,7 @@
 {
 	struct gd_upstream_call *call = arg;
 
-	call->result.body = gb_buf_str(&call->x.body);
+	call->result.body = gb_buf_str(&call->x.call.body);
 	if (call->result.status == ND_UPSTREAM_OK &&
 	    !js_body_check(call->result.body, call->call.order))
 		call->result.status = ND_UPSTREAM_ERROR;
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -15,6 +15,7 @@
 
 #include "base/gb.h"
 #include "event/ev.h"
+#include "http/ht-client.h"
 #include "json/js.h"
 #include "metric/met.h"
 #include "node/nd.h"
@@ -194,8 +195,7 @@
 
 /*
  * HTTP CLIENT
- *	An exchange is one request with its answer. The connections to one
- *	endpoint never exceed its limit; further exchanges wait. done() is
+ *	An exchange is a call of the HTTP client with a time limit. done() is
  *	called exactly once, maybe before gd_exchange_start() returns.
  *	release() follows at the end of the loop turn, outside of any output of
  *	the node; it may call inputs and must free the memory.
@@ -205,35 +205,25 @@
 	GD_NOT_SENT, /* certain: no byte was sent */
 	GD_LOST, /* the connection failed after sending */
 	GD_TIMEOUT,
-	GD_REJECTED /* by head() of the exchange */
+	GD_REJECTED /* by accept() of the exchange */
 };
 
-struct gd_link;
-
 struct gd_endpoint {
 	struct gd *gd;
 	struct gb_str host;
 	uint16_t port;
-	struct sockaddr_storage addr;
-	uint32_t limit;
-	uint32_t active;
-	GQueue waiting; /* of struct gd_exchange */
-	GQueue idle; /* of struct gd_link, last used first */
-	bool lost; /* the other side closed an idle connection */
-	bool pumping; /* a deferred start is due */
+	struct ht_target *target;
+	uint32_t exchanges; /* that have not ended */
 	uv_timer_t unused; /* forgets the endpoint when it ends */
 };
 
 struct gd_exchange {
 	struct gd_endpoint *endpoint;
-	struct gd_link *link; /* NULL while it waits for one */
+	struct ht_call call;
 	uv_timer_t timer;
-	bool active; /* holds a connection; else it waits for one */
-	bool sent;
 	bool ended;
+	bool rejected; /* by accept() */
 	int status;
-	struct gb_buf request;
-	struct gb_buf body;
 
 	/* Writes the request at the moment of sending; false gives up. */
 	bool (*prepare)(struct gd_exchange *x, struct gb_buf *out);
--- a/packages/http/ht-client.c
+++ b/packages/http/ht-client.c
@@ -1,15 +1,6 @@
-#include "http/ht-client.h"
+#include "http/ht-link.h"
 #include "http/ht-server.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
-#define ANSWER_MAX (8 * 1024 * 1024)
-
-/* Bytes that stay unacknowledged for so long end the connection. */
-#define UNACKED_MAX_MS 3000
-
 #define CONNECT_TIMEOUT (1 * GB_SEC)
 
 /*
@@ -17,34 +8,15 @@
  * request crosses its close. A server that announces no time may close early.
  */
 #define IDLE_UNANNOUNCED (800 * GB_MSEC)
-#define IDLE_MARGIN (600 * GB_MSEC)
 
-struct ht_link {
-	struct ht_target *target;
-	uv_tcp_t tcp;
-	uv_connect_t connect;
-	uv_write_t write;
-	uv_timer_t timer; /* of the connect */
-	struct ht_call *call;
-	struct gb_buf out;
-	struct ht_response response;
-	GList idle; /* in target->idle */
-	gb_time idle_until;
-	gb_time idle_max;
-	bool is_idle;
-	bool connected;
-	bool writing;
-	bool skipped; /* an answer to an earlier call; not to be used again */
-	bool skipping;
-	bool closed;
-	enum ht_outcome failure; /* reported by the timer */
-	unsigned int handles;
-};
+/*
+ * The end of a connection that was idle for longer may have arrived after the
+ * loop's last look, so it is looked for before a request.
+ */
+#define IDLE_CHECK (1 * GB_SEC)
 
 static void pump(struct ht_target *target);
 
-static char read_buffer[64 * 1024];
-
 struct ht_target *ht_target_new(uv_loop_t *loop, struct gb_str address,
 				uint32_t limit)
 {
@@ -57,6 +29,7 @@
 	target->loop = loop;
 	target->limit = MAX(limit, 1);
 	target->connect_timeout = CONNECT_TIMEOUT;
+	target->idle_max = IDLE_UNANNOUNCED;
 	g_queue_init(&target->idle);
 	g_queue_init(&target->waiting);
 	return target;
@@ -68,318 +41,44 @@
 		g_free(target);
 }
 
-static void on_handle_closed(uv_handle_t *handle)
+static void on_idle(struct ht_link *link)
 {
-	struct ht_link *link = handle->data;
+	struct ht_target *target = link->target;
 
-	if (--link->handles)
-		return;
-	ht_response_free(&link->response);
-	gb_buf_free(&link->out);
-	g_free(link);
+	link->is_idle = true;
+	g_queue_push_head_link(&target->idle, &link->idle);
+	if (target->waiting.length)
+		pump(target);
 }
 
-static void close_link(struct ht_link *link)
+static void on_closed(struct ht_link *link)
 {
 	struct ht_target *target = link->target;
 
-	if (link->closed)
-		return;
-	link->closed = true;
 	if (link->is_idle)
 		g_queue_unlink(&target->idle, &link->idle);
 	link->is_idle = false;
-	uv_close((uv_handle_t *)&link->tcp, on_handle_closed);
-	uv_close((uv_handle_t *)&link->timer, on_handle_closed);
 	target->open--;
 	if (target->waiting.length)
 		pump(target);
 	release_target(target);
 }
 
-/* Makes the connection idle, or closes it if it cannot be used again. */
-static void retire(struct ht_link *link)
-{
-	struct ht_target *target = link->target;
-	bool usable = link->response.keep && !link->writing && !link->skipped &&
-		      !link->response.in.len && !target->freed;
+static const struct ht_link_ops link_ops = { .idle = on_idle,
+					     .closed = on_closed };
 
-	if (!usable) {
-		close_link(link);
-		return;
-	}
-	ht_response_reset(&link->response);
-	link->is_idle = true;
-	link->idle_until = ht_now() + link->idle_max;
-	g_queue_push_head_link(&target->idle, &link->idle);
-	if (target->waiting.length)
-		pump(target);
-}
-
-/* Ends the call of a connection that is not used again. */
-static void fail(struct ht_link *link, enum ht_outcome outcome)
+static bool is_usable(struct ht_link *link, gb_time now)
 {
-	struct ht_call *call = link->call;
-
-	link->call = NULL;
-	close_link(link);
-	if (!call)
-		return;
-	call->link = NULL;
-	call->ops->done(call, outcome);
-}
+	gb_time idle = now - link->idle_since;
 
-static void finish(struct ht_link *link)
-{
-	struct ht_call *call = link->call;
-
-	link->call = NULL;
-	call->link = NULL;
-	retire(link);
-	call->ops->done(call, HT_ANSWERED);
-}
-
-static void on_written(uv_write_t *req, int status)
-{
-	struct ht_link *link = req->data;
-
-	link->writing = false;
-	if (status && !link->closed)
-		fail(link, HT_LOST);
-}
-
-static void on_failure_due(uv_timer_t *timer)
-{
-	struct ht_link *link = timer->data;
-
-	fail(link, link->failure);
-}
-
-/*
- * Ends the call in the next turn of the loop, since a call must not end while
- * its owner is still starting it.
- */
-static void fail_later(struct ht_link *link, enum ht_outcome outcome)
-{
-	link->failure = outcome;
-	uv_timer_start(&link->timer, on_failure_due, 0, 0);
-}
-
-static void write_request(struct ht_link *link)
-{
-	uv_stream_t *stream = (uv_stream_t *)&link->tcp;
-	uv_buf_t buf = uv_buf_init(link->out.ptr, link->out.len);
-	int len = uv_try_write(stream, &buf, 1);
-
-	if (len == UV_EAGAIN)
-		len = 0;
-	if (len < 0) {
-		fail_later(link, HT_LOST);
-		return;
-	}
-	if ((size_t)len == link->out.len)
-		return;
-	buf = uv_buf_init(link->out.ptr + len, link->out.len - len);
-	link->writing = true;
-	if (uv_write(&link->write, stream, &buf, 1, on_written))
-		fail_later(link, HT_LOST);
-}
-
-/* Encodes and sends the request of the connection's call. */
-static void send_request(struct ht_link *link)
-{
-	struct ht_call *call = link->call;
-
-	gb_buf_reset(&link->out);
-	if (call->ops->encode(call, &link->out)) {
-		call->sent = true;
-		write_request(link);
-		return;
-	}
-	fail_later(link, HT_NOT_SENT);
-}
-
-/* Reads the seconds of "timeout=N" in a Keep-Alive field. */
-static void take_keep_alive(struct ht_link *link, struct gb_str value)
-{
-	struct gb_str item;
-	bool more = true;
-	int64_t seconds;
-
-	while (more) {
-		more = gb_str_cut(&value, ',', &item);
-		item = gb_str_trim(item);
-		if (!gb_str_starts_with(item, GB_STR("timeout=")))
-			continue;
-		if (gb_str_to_int(gb_str_sub(item, 8, item.len - 8), 0, 86400,
-				  &seconds))
-			continue;
-		link->idle_max = MAX(seconds * GB_SEC - IDLE_MARGIN,
-				     seconds * GB_SEC / 2);
-	}
-}
-
-/* Returns false if the connection was given up. */
-static bool take_head(struct ht_link *link)
-{
-	struct ht_response *response = &link->response;
-	enum ht_verdict verdict = link->call->ops->head(link->call, response);
-
-	for (size_t i = 0; i < response->fields_len; i++)
-		if (gb_str_eq(response->fields[i].name, GB_STR("keep-alive")))
-			take_keep_alive(link, response->fields[i].value);
-	link->skipping = verdict == HT_SKIP;
-	link->skipped |= link->skipping;
-	if (verdict != HT_REJECT)
+	if (idle >= link->idle_max)
+		return false;
+	if (idle < IDLE_CHECK || !ht_link_is_ended(link))
 		return true;
-	fail(link, HT_GARBLED);
+	link->target->lost = true;
 	return false;
 }
 
-/* After the answer to an earlier call the next one begins. */
-static void skip_answer(struct ht_link *link)
-{
-	struct gb_buf rest = link->response.in;
-
-	link->response.in = GB_BUF_INIT;
-	ht_response_reset(&link->response);
-	link->response.in = rest;
-	link->skipping = false;
-	gb_buf_reset(&link->call->body);
-}
-
-static void parse(struct ht_link *link)
-{
-	for (;;) {
-		enum ht_part part =
-			ht_response_next(&link->response, &link->call->body);
-
-		if (part == HT_PART_BAD || link->call->body.len > ANSWER_MAX) {
-			fail(link, HT_GARBLED);
-			return;
-		}
-		if (part == HT_PART_MORE)
-			return;
-		if (part == HT_PART_HEAD) {
-			if (!take_head(link))
-				return;
-			continue;
-		}
-		if (!link->skipping) {
-			finish(link);
-			return;
-		}
-		skip_answer(link);
-		if (!link->response.in.len)
-			return;
-	}
-}
-
-static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
-{
-	(void)handle;
-	(void)size;
-	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
-}
-
-/*
- * libuv reports the end of the stream for a reset that it sees together with
- * the last bytes, so the socket itself is asked.
- */
-static bool was_reset(const struct ht_link *link)
-{
-	uv_os_fd_t fd;
-	char byte;
-
-	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd))
-		return true;
-	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
-}
-
-static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
-{
-	struct ht_link *link = stream->data;
-
-	if (!len || link->closed)
-		return;
-	if (!link->call) {
-		close_link(link);
-		return;
-	}
-	if (len == UV_EOF && ht_response_ends_here(&link->response) &&
-	    !link->skipping && !was_reset(link)) {
-		finish(link);
-		return;
-	}
-	if (len < 0) {
-		fail(link, HT_LOST);
-		return;
-	}
-	ht_response_feed(&link->response, (struct gb_str){ buf->base, len });
-	parse(link);
-}
-
-static void set_options(struct ht_link *link)
-{
-	unsigned int unacked_ms = UNACKED_MAX_MS;
-	uv_os_fd_t fd;
-
-	uv_tcp_nodelay(&link->tcp, 1);
-	if (!uv_fileno((uv_handle_t *)&link->tcp, &fd))
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
-			   sizeof(unacked_ms));
-}
-
-static void on_connected(uv_connect_t *req, int status)
-{
-	struct ht_link *link = req->data;
-
-	if (link->closed)
-		return;
-	uv_timer_stop(&link->timer);
-	if (status) {
-		fail(link, HT_NOT_SENT);
-		return;
-	}
-	link->connected = true;
-	set_options(link);
-	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
-	if (link->call) {
-		send_request(link);
-		return;
-	}
-	link->response.keep = true;
-	retire(link);
-}
-
-static void connect_for(struct ht_target *target, struct ht_call *call)
-{
-	struct ht_link *link = g_new0(struct ht_link, 1);
-
-	link->target = target;
-	link->call = call;
-	link->idle.data = link;
-	link->idle_max = IDLE_UNANNOUNCED;
-	link->response.accept_unframed = true;
-	link->handles = 2;
-	call->link = link;
-	call->reused = false;
-	target->open++;
-	target->opened++;
-	uv_tcp_init(target->loop, &link->tcp);
-	uv_timer_init(target->loop, &link->timer);
-	link->tcp.data = link;
-	link->timer.data = link;
-	link->connect.data = link;
-	link->write.data = link;
-	link->failure = HT_NOT_SENT;
-	uv_timer_start(&link->timer, on_failure_due,
-		       target->connect_timeout / GB_MSEC, 0);
-	if (uv_tcp_connect(&link->connect, &link->tcp,
-			   (struct sockaddr *)&target->addr, on_connected))
-		fail_later(link, HT_NOT_SENT);
-}
-
 static struct ht_link *take_idle(struct ht_target *target)
 {
 	gb_time now = ht_now();
@@ -387,12 +86,12 @@
 	while (target->idle.length) {
 		struct ht_link *link = target->idle.head->data;
 
-		if (link->idle_until > now) {
+		if (is_usable(link, now)) {
 			g_queue_unlink(&target->idle, &link->idle);
 			link->is_idle = false;
 			return link;
 		}
-		close_link(link);
+		ht_link_close(link);
 	}
 	return NULL;
 }
@@ -403,15 +102,13 @@
 	struct ht_link *link = take_idle(target);
 
 	if (link) {
-		link->call = call;
-		call->link = link;
-		call->reused = true;
-		send_request(link);
+		ht_link_send(link, call);
 		return true;
 	}
 	if (target->open >= target->limit)
 		return false;
-	connect_for(target, call);
+	target->open++;
+	ht_link_open(target, call, &link_ops);
 	return true;
 }
 
@@ -438,7 +135,11 @@
 	call->sent = false;
 	call->waiting = (GList){ .data = call };
 	call->body = GB_BUF_INIT;
-	if (!dispatch(target, call))
+	if (dispatch(target, call))
+		return;
+	if (call->urgent)
+		g_queue_push_head_link(&target->waiting, &call->waiting);
+	else
 		g_queue_push_tail_link(&target->waiting, &call->waiting);
 }
 
@@ -451,7 +152,7 @@
 		link->call = NULL;
 		/* A connection that is being opened can serve the next call. */
 		if (link->connected)
-			close_link(link);
+			ht_link_close(link);
 		return;
 	}
 	if (call->target && g_queue_find(&call->target->waiting, call))
@@ -459,6 +160,26 @@
 	call->target = NULL;
 }
 
+void ht_target_expire(struct ht_target *target, gb_time now)
+{
+	/* The tail was used least recently. */
+	while (target->idle.length) {
+		struct ht_link *link = target->idle.tail->data;
+
+		if (now - link->idle_since < link->idle_max)
+			return;
+		ht_link_close(link);
+	}
+}
+
+bool ht_target_lost(struct ht_target *target)
+{
+	bool lost = target->lost;
+
+	target->lost = false;
+	return lost;
+}
+
 void ht_target_free(struct ht_target *target)
 {
 	target->freed = true;
@@ -469,7 +190,7 @@
 	/* Keeps the target until its last connection is closed here. */
 	target->open++;
 	while (target->idle.length)
-		close_link(target->idle.head->data);
+		ht_link_close(target->idle.head->data);
 	target->open--;
 	release_target(target);
 }
--- a/packages/http/ht-client.h
+++ b/packages/http/ht-client.h
@@ -55,6 +55,7 @@
 	struct ht_target *target;
 	struct ht_link *link; /* NULL while it waits for a connection */
 	GList waiting; /* in target->waiting */
+	bool urgent; /* waits before the others; set before the start */
 	bool sent;
 	bool reused; /* its connection had served other calls */
 	struct gb_buf body; /* of the answer; owned by the call's owner */
@@ -68,7 +69,9 @@
 	GQueue idle; /* of struct ht_link; used last at the head */
 	GQueue waiting; /* of struct ht_call */
 	gb_time connect_timeout;
-	uint64_t opened; /* connections since the start */
+	gb_time idle_max; /* of a connection whose server announces no time */
+	bool framed_only; /* an answer without a length is garbled */
+	bool lost; /* the server closed an idle connection */
 	bool freed;
 };
 
@@ -76,6 +79,12 @@
 struct ht_target *ht_target_new(uv_loop_t *loop, struct gb_str address,
 				uint32_t limit);
 
+/* Closes the connections that were idle for too long. */
+void ht_target_expire(struct ht_target *target, gb_time now);
+
+/* Tells, once, that the server closed an idle connection. */
+bool ht_target_lost(struct ht_target *target);
+
 /* Closes idle connections; running calls end as usual. */
 void ht_target_free(struct ht_target *target);
 
