shard: calls go one way between its files

Cause: nine of the eleven files called each other in a circle, so none could be read without the others.

Change: functions moved, none changed. State, replicas, timers and queues lie below entries and calls; ends of entries, placement, answers, requests and ticks lie above. shd-internal.h lists the files in that order.

--- a/packages/shard/shd-entry.c
+++ b/packages/shard/shd-entry.c
@@ -3,10 +3,7 @@
 #include <string.h>
 
 static struct gb_str copy_bytes(char **to, struct gb_str s);
-static enum msg_status true_status(const struct shd_entry *entry,
-				   enum msg_status status);
 static void remove_query(struct shd_shard *shard, struct shd_entry *entry);
-static void end(struct shd_shard *shard, struct shd_entry *entry);
 
 static struct gb_str copy_bytes(char **to, struct gb_str s)
 {
@@ -68,20 +65,8 @@
 	entry->prev = NULL;
 }
 
-/* A status that says "not run" must be true for each attempt. */
-static enum msg_status true_status(const struct shd_entry *entry,
-				   enum msg_status status)
-{
-	if (!entry->may_have_run && !entry->calls_len)
-		return status;
-	if (status == MSG_STATUS_NOT_RUN || status == MSG_STATUS_NOT_OWNER ||
-	    status == MSG_STATUS_OVERLOAD || status == MSG_STATUS_UNAVAILABLE)
-		return MSG_STATUS_UNKNOWN;
-	return status;
-}
-
 /* Takes the entry out of everything that decides about it. */
-static void end(struct shd_shard *shard, struct shd_entry *entry)
+void shd_leave(struct shd_shard *shard, struct shd_entry *entry)
 {
 	shd_unlink(shard, entry);
 	shd_drop_hedge(shard, entry);
@@ -92,60 +77,6 @@
 	entry->hedge_at = GB_NEVER;
 }
 
-/* Ends an entry with its one result; answer is NULL without one. */
-void shd_finish(struct shd_shard *shard, struct shd_entry *entry,
-		enum msg_status status, const struct shd_answer *answer)
-{
-	struct msg_sub_result result = {
-		.attempt = entry->req.attempt,
-		.shard = shard->index,
-		.status = true_status(entry, status),
-		.snapshot = entry->req.snapshot,
-		.wait = entry->wait,
-	};
-
-	if (!entry->attempts)
-		result.wait = shard->now - entry->submitted;
-	if (answer) {
-		result.snapshot = answer->snapshot;
-		result.docs = answer->docs;
-		result.body = answer->body;
-	}
-	end(shard, entry);
-	entry->hold++;
-	if (status == MSG_STATUS_OK) {
-		shd_cancel_calls(shard, entry);
-		met_hist_add(&shard->metrics->histogram[MET_SUB_TIME],
-			     shard->now - entry->submitted);
-	} else if (!entry->attempts) {
-		met_add(shard->metrics, MET_SUB_REFUSED, 1);
-	}
-	shd_emit(shard, EV_SUB_DONE, entry->query, NULL, shard->index,
-		 result.status);
-	shard->ops->done(shard->ctx, shard, entry->vm, entry->query, &result);
-	entry->hold--;
-	shd_release(shard, entry);
-}
-
-/* Ends an entry whose deadline has passed. */
-void shd_expire(struct shd_shard *shard, struct shd_entry *entry)
-{
-	/* NOT_RUN becomes UNKNOWN if the order may have run. */
-	shd_finish(shard, entry,
-		   entry->req.order ? MSG_STATUS_NOT_RUN : MSG_STATUS_DEADLINE,
-		   NULL);
-}
-
-/* Ends an entry without a result, for a caller that is gone. */
-void shd_drop(struct shd_shard *shard, struct shd_entry *entry)
-{
-	end(shard, entry);
-	entry->hold++;
-	shd_cancel_calls(shard, entry);
-	entry->hold--;
-	shd_release(shard, entry);
-}
-
 /* Frees an entry that is done and has no call, else sets its timer. */
 void shd_release(struct shd_shard *shard, struct shd_entry *entry)
 {
--- a/packages/shard/shd-internal.h
+++ b/packages/shard/shd-internal.h
@@ -14,6 +14,7 @@
  *	Every live entry has one timer in the shard's heap: the earliest of
  *	its deadline, its hedge and the expiry of its calls.
  *
+ *	Calls go from the files named last below to those named before them.
  *	Table functions of shd_ops may call back into the shard. So a function
  *	that calls one does not use an entry afterwards unless it holds it.
  */
@@ -134,13 +135,25 @@
 	uint32_t blames_next;
 };
 
-/* shd-shard.c */
+/* shd-state.c */
 void shd_emit(struct shd_shard *shard, enum ev_code code, uint64_t query,
 	      const struct shd_replica *replica, int64_t a, int64_t b);
 void shd_set_now(struct shd_shard *shard, gb_time now);
 bool shd_any_open(const struct shd_shard *shard);
 bool shd_lease_held(const struct shd_shard *shard);
+uint64_t shd_usable(const struct shd_shard *shard);
+void shd_unreserve(struct shd_shard *shard);
+
+/* shd-replica.c */
+void shd_follow_replicas(struct shd_shard *shard, const struct cfg *cfg,
+			 const struct cfg_service *service);
 void shd_forget_removed(struct shd_shard *shard);
+void shd_free_replicas(struct shd_shard *shard);
+
+/* shd-timer.c */
+void shd_arm(struct shd_shard *shard, struct shd_entry *entry);
+void shd_disarm(struct shd_shard *shard, struct shd_entry *entry);
+struct shd_entry *shd_first_due(const struct shd_shard *shard);
 
 /* shd-queue.c */
 void shd_enqueue(struct shd_entry *entry, struct shd_shard *shard,
@@ -150,25 +163,25 @@
 bool shd_meets_deadline(const struct shd_shard *shard,
 			const struct shd_entry *entry);
 enum msg_status shd_late_status(const struct shd_shard *shard);
-void shd_flush(struct shd_shard *shard, enum msg_status status);
 size_t shd_waiting(const struct shd_shard *shard);
 
+/* shd-hedge-time.c */
+const struct shd_call *shd_only_call(const struct shd_entry *entry);
+bool shd_may_hedge(const struct shd_entry *entry);
+void shd_set_hedge(struct shd_shard *shard, struct shd_entry *entry);
+void shd_hedge(struct shd_shard *shard, struct shd_entry *entry);
+void shd_drop_hedge(struct shd_shard *shard, struct shd_entry *entry);
+
 /* shd-entry.c */
 struct shd_entry *shd_entry_new(const struct shd_request *req);
-void shd_finish(struct shd_shard *shard, struct shd_entry *entry,
-		enum msg_status status, const struct shd_answer *answer);
-void shd_expire(struct shd_shard *shard, struct shd_entry *entry);
-void shd_drop(struct shd_shard *shard, struct shd_entry *entry);
-void shd_release(struct shd_shard *shard, struct shd_entry *entry);
 void shd_add_query(struct shd_shard *shard, struct shd_entry *entry);
+void shd_leave(struct shd_shard *shard, struct shd_entry *entry);
+void shd_release(struct shd_shard *shard, struct shd_entry *entry);
 
-/* shd-timer.c */
-void shd_arm(struct shd_shard *shard, struct shd_entry *entry);
-void shd_disarm(struct shd_shard *shard, struct shd_entry *entry);
-
-/* shd-place.c */
-uint64_t shd_usable(const struct shd_shard *shard);
-void shd_place(struct shd_shard *shard);
+/* shd-suspect.c */
+void shd_judge(struct shd_shard *shard, const struct shd_call *call,
+	       enum shd_status status);
+void shd_reserve(struct shd_shard *shard, struct shd_entry *entry);
 
 /* shd-call.c */
 void shd_send_call(struct shd_shard *shard, struct shd_entry *entry,
@@ -178,19 +191,20 @@
 void shd_end_call(struct shd_shard *shard, struct shd_call *call,
 		  enum shd_status status, uint64_t instance);
 
-/* shd-answer.c */
-void shd_lost_call(struct shd_shard *shard, struct shd_call *call);
+/* shd-finish.c */
+void shd_finish(struct shd_shard *shard, struct shd_entry *entry,
+		enum msg_status status, const struct shd_answer *answer);
+void shd_expire(struct shd_shard *shard, struct shd_entry *entry);
+void shd_drop(struct shd_shard *shard, struct shd_entry *entry);
+void shd_flush(struct shd_shard *shard, enum msg_status status);
 
 /* shd-hedge.c */
-void shd_set_hedge(struct shd_shard *shard, struct shd_entry *entry);
-void shd_hedge(struct shd_shard *shard, struct shd_entry *entry);
-void shd_drop_hedge(struct shd_shard *shard, struct shd_entry *entry);
 void shd_send_hedges(struct shd_shard *shard);
 
-/* shd-suspect.c */
-void shd_judge(struct shd_shard *shard, const struct shd_call *call,
-	       enum shd_status status);
-void shd_reserve(struct shd_shard *shard, struct shd_entry *entry);
-void shd_unreserve(struct shd_shard *shard);
+/* shd-place.c */
+void shd_place(struct shd_shard *shard);
+
+/* shd-answer.c */
+void shd_lost_call(struct shd_shard *shard, struct shd_call *call);
 
 #endif
--- a/packages/shard/shd-place.c
+++ b/packages/shard/shd-place.c
@@ -10,20 +10,6 @@
 static bool start(struct shd_shard *shard, struct shd_entry *entry);
 static bool start_one(struct shd_shard *shard);
 
-/* The replicas that take new work now, whether or not they have room. */
-uint64_t shd_usable(const struct shd_shard *shard)
-{
-	uint64_t usable = 0;
-
-	for (guint i = 0; i < shard->replicas->len; i++) {
-		const struct shd_replica *replica = shard->replicas->pdata[i];
-
-		if (up_limit(&replica->up, shard->now))
-			usable |= replica->bit;
-	}
-	return usable;
-}
-
 /* Finds the replica with room that is likely to answer first. */
 static struct shd_replica *best(const struct shd_shard *shard, uint64_t not )
 {
--- /dev/null
+++ b/packages/shard/shd-replica.c
@@ -0,0 +1,142 @@
+#include "shard/shd-internal.h"
+
+static void replica_free(gpointer data);
+static struct shd_replica *take_replica(GPtrArray *from, struct gb_str name);
+static uint64_t free_bit(const struct shd_shard *shard);
+static struct shd_replica *new_replica(const struct shd_shard *shard,
+				       const struct cfg_limits *limits,
+				       struct gb_str name);
+static void set_closed(struct shd_replica *replica, bool closed);
+static void take_replicas(struct shd_shard *shard, const struct cfg *cfg,
+			  const struct cfg_service *service);
+static void close_removed(struct shd_shard *shard);
+
+static void replica_free(gpointer data)
+{
+	struct shd_replica *replica = data;
+
+	gb_str_free(&replica->name);
+	g_free(replica);
+}
+
+/* Takes the replica of a name out of the array. */
+static struct shd_replica *take_replica(GPtrArray *from, struct gb_str name)
+{
+	for (guint i = 0; i < from->len; i++) {
+		struct shd_replica *replica = from->pdata[i];
+
+		if (gb_str_eq(replica->name, name))
+			return g_ptr_array_remove_index_fast(from, i);
+	}
+	return NULL;
+}
+
+/* Finds a bit that no replica uses; 0 when there is none. */
+static uint64_t free_bit(const struct shd_shard *shard)
+{
+	const GPtrArray *arrays[] = { shard->replicas, shard->removed };
+	uint64_t used = 0;
+
+	for (size_t a = 0; a < G_N_ELEMENTS(arrays); a++) {
+		for (guint i = 0; i < arrays[a]->len; i++) {
+			const struct shd_replica *r = arrays[a]->pdata[i];
+
+			used |= r->bit;
+		}
+	}
+	return ~used & (used + 1);
+}
+
+static struct shd_replica *new_replica(const struct shd_shard *shard,
+				       const struct cfg_limits *limits,
+				       struct gb_str name)
+{
+	struct shd_replica *replica = g_new0(struct shd_replica, 1);
+
+	up_init(&replica->up, limits);
+	replica->name = gb_str_dup(name);
+	replica->bit = free_bit(shard);
+	replica->up.closed = true;
+	return replica;
+}
+
+/* An upstream that returns may have been restarted and starts cold. */
+static void set_closed(struct shd_replica *replica, bool closed)
+{
+	if (replica->up.closed && !closed)
+		up_set_idle(&replica->up);
+	replica->up.closed = closed;
+}
+
+static void take_replicas(struct shd_shard *shard, const struct cfg *cfg,
+			  const struct cfg_service *service)
+{
+	const struct cfg_shard *conf = cfg_shard(service, shard->index);
+	struct cfg_limits limits = service->limits;
+
+	limits.connections = cfg_connection_share(cfg, service);
+	for (guint i = 0; i < conf->replicas->len; i++) {
+		const struct cfg_replica *from = cfg_replica(conf, i);
+		struct shd_replica *replica =
+			take_replica(shard->removed, from->name);
+
+		if (!replica)
+			replica = new_replica(shard, &limits, from->name);
+		replica->index = i;
+		replica->present = true;
+		up_set_limits(&replica->up, &limits);
+		set_closed(replica, !cfg_replica_open(cfg, from));
+		g_ptr_array_add(shard->replicas, replica);
+	}
+}
+
+/* Closes replicas that left; those without calls are freed. */
+static void close_removed(struct shd_shard *shard)
+{
+	for (guint i = 0; i < shard->removed->len; i++) {
+		struct shd_replica *replica = shard->removed->pdata[i];
+
+		replica->present = false;
+		set_closed(replica, true);
+	}
+	shd_forget_removed(shard);
+}
+
+void shd_forget_removed(struct shd_shard *shard)
+{
+	for (guint i = shard->removed->len; i-- > 0;) {
+		struct shd_replica *replica = shard->removed->pdata[i];
+
+		if (replica->up.in_flight || replica == shard->alone)
+			continue;
+		g_ptr_array_remove_index_fast(shard->removed, i);
+		for (int b = 0; b < SHD_BLAMES; b++) {
+			if (shard->blames[b].replica == replica)
+				shard->blames[b].replica = NULL;
+		}
+		replica_free(replica);
+	}
+}
+
+void shd_follow_replicas(struct shd_shard *shard, const struct cfg *cfg,
+			 const struct cfg_service *service)
+{
+	GPtrArray *old = shard->replicas;
+
+	shard->replicas = shard->removed;
+	shard->removed = old;
+	/* All replicas are in "removed" now; configured ones are taken out. */
+	g_ptr_array_extend(shard->removed, shard->replicas, NULL, NULL);
+	g_ptr_array_set_size(shard->replicas, 0);
+	if (service && shard->index < service->shards->len)
+		take_replicas(shard, cfg, service);
+	close_removed(shard);
+}
+
+void shd_free_replicas(struct shd_shard *shard)
+{
+	g_ptr_array_set_free_func(shard->replicas, replica_free);
+	g_ptr_array_set_free_func(shard->removed, replica_free);
+	g_ptr_array_free(shard->replicas, TRUE);
+	g_ptr_array_free(shard->removed, TRUE);
+}
--- a/packages/shard/shd-suspect.c
+++ b/packages/shard/shd-suspect.c
@@ -162,12 +162,3 @@
 	shard->alone = found;
 	shard->alone_entry = entry;
 }
-
-void shd_unreserve(struct shd_shard *shard)
-{
-	if (!shard->alone)
-		return;
-	shard->alone->up.exclusive = false;
-	shard->alone = NULL;
-	shard->alone_entry = NULL;
-}
