node: calls go one way between its files

Cause: eleven files called each other in a circle: every input had its own begin and end, and the configuration called all that follow it.

Change: nd-input.c takes all inputs, begins and ends them and hands messages on by a table; identity, quorum and owners are in nd-state.c; batches are apart from the work they start; what follows a configuration is a table of functions. Functions were moved and split, decisions are the same. nd-internal.h lists the files from the lowest up.

--- a/packages/node/nd-config.c
+++ b/packages/node/nd-config.c
@@ -78,17 +78,8 @@
 	met_add(node->metrics, MET_CONFIG_CHANGES, 1);
 	met_set(node->metrics, MET_CONFIG_VERSION, cfg->version);
 	nd_event_plain(node, EV_CONFIG_TAKEN, cfg->version, cfg->epoch);
-	nd_member_follow(node);
-	nd_config_apply(node);
-	nd_query_follow(node);
-}
-
-/* Lets the upstreams follow the configuration and the list of VMs. */
-void nd_config_apply(struct node *node)
-{
-	nd_leaving_follow(node);
-	nd_warm_follow(node);
-	nd_owner_follow(node);
+	for (const nd_follower *follow = node->followers; *follow; follow++)
+		(*follow)(node);
 }
 
 /* Fetches from a peer that has a higher version. */
@@ -144,12 +135,12 @@
 	source->retry_at = MAX(source->retry_at, node->clock.now + PAUSE_MIN);
 }
 
-void nd_store_done(struct node *node, struct nd_clock clock,
-		   const struct nd_store_result *result)
+/* Notes how a call to the platform ended, and takes what it brought. */
+void nd_config_store_done(struct node *node,
+			  const struct nd_store_result *result)
 {
 	struct nd_source *source = &node->source;
 
-	nd_begin(node, clock);
 	if (result->tag == source->read_tag)
 		source->read_tag = 0;
 	if (result->tag == source->watch_tag)
@@ -157,8 +148,6 @@
 	if (result->op == ND_STORE_VMS) {
 		if (source->down && result->status != ND_STORE_DOWN)
 			store_answered(node);
-		nd_leaving_done(node, result);
-		nd_end(node);
 		return;
 	}
 	if (result->status == ND_STORE_DOWN)
@@ -167,6 +156,4 @@
 		store_answered(node);
 	if (result->status == ND_STORE_OK && result->cfg)
 		nd_config_offer(node, result->cfg);
-	nd_plan_store_done(node, result);
-	nd_end(node);
 }
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -4,6 +4,11 @@
 /*
  * NAME
  *	nd-internal - state of a node, shared by the files of this package
+ *
+ * DESCRIPTION
+ *	Calls go from the files named last below to those named before them.
+ *	What a lower file has to tell higher ones goes through the table of
+ *	followers. nd-input.c takes all inputs and nd-node.c makes the node.
  */
 
 #include "node/nd.h"
@@ -97,9 +102,13 @@
 	gb_time next;
 };
 
+/* Takes over that another configuration is in force. */
+typedef void (*nd_follower)(struct node *node);
+
 struct node {
 	struct nd_settings settings;
 	const struct nd_ops *ops;
+	const nd_follower *followers; /* ends with NULL */
 	void *ctx;
 	struct met_registry *metrics;
 	struct nd_clock clock;
@@ -156,10 +165,11 @@
 	bool stopping;
 };
 
-/* nd-node.c */
+/* nd-state.c */
 uint64_t nd_id(struct node *node);
-void nd_begin(struct node *node, struct nd_clock clock);
-void nd_end(struct node *node);
+bool nd_quorum(const struct node *node);
+int nd_owner_of(const struct node *node, const struct cfg_service *service,
+		uint32_t shard);
 
 /* nd-event.c */
 void nd_event(struct node *node, enum ev_code code, struct gb_str request,
@@ -170,45 +180,24 @@
 void nd_send(struct node *node, uint32_t vm, struct msg *msg);
 void nd_send_all(struct node *node, struct msg *msg);
 void nd_send_granters(struct node *node, struct msg *msg);
-void nd_dispatch(struct node *node, const struct msg *msg);
-
-/* nd-member.c */
-void nd_member_tick(struct node *node);
-void nd_member_follow(struct node *node);
-void nd_member_hurry(struct node *node);
-bool nd_quorum(const struct node *node);
-void nd_on_heartbeat(struct node *node, const struct msg *msg);
-void nd_on_heartbeat_reply(struct node *node, const struct msg *msg);
 
 /* nd-config.c */
 void nd_config_tick(struct node *node);
 void nd_config_offer(struct node *node, struct cfg *cfg);
-void nd_config_apply(struct node *node);
 void nd_config_heard(struct node *node, uint32_t vm, uint64_t version);
+void nd_config_store_done(struct node *node,
+			  const struct nd_store_result *result);
 void nd_on_config_fetch(struct node *node, const struct msg *msg);
 void nd_on_config(struct node *node, const struct msg *msg);
 
-/* nd-owner.c */
-void nd_owner_tick(struct node *node);
-void nd_owner_follow(struct node *node);
-void nd_owner_leases(struct node *node);
-bool nd_owner_unit_idle(const struct node *node, uint32_t unit);
-void nd_owner_unit_drain(struct node *node, uint32_t unit);
-uint32_t nd_owner_running(const struct node *node);
-void nd_owner_free(struct node *node);
-struct nd_shard *nd_shard_get(struct node *node, int service, uint32_t index);
-struct nd_service *nd_service_get(struct node *node,
-				  const struct cfg_service *cfg);
-void nd_on_quarantine(struct node *node, const struct msg *msg);
-
 /* nd-work.c */
 struct nd_work *nd_work_find(struct node *node, uint64_t query);
+struct nd_work *nd_work_get(struct node *node, const struct msg *msg);
 void nd_work_add(struct node *node, struct nd_work *work,
 		 const struct msg_sub_result *result);
 void nd_work_flush(struct node *node);
+void nd_work_free(struct node *node, struct nd_work *work);
 void nd_work_free_all(struct node *node);
-void nd_on_batch(struct node *node, const struct msg *msg);
-void nd_on_cancel(struct node *node, const struct msg *msg);
 
 /* nd-seen.c */
 bool nd_seen_is_new(struct node *node, const struct msg *msg, uint64_t attempt);
@@ -222,8 +211,24 @@
 void nd_warm_send(struct node *node, uint32_t vm);
 void nd_on_warm(struct node *node, const struct msg *msg);
 
-/* nd-greet.c */
-void nd_greet(struct node *node, uint32_t vm);
+/* nd-owner.c */
+void nd_owner_tick(struct node *node);
+void nd_owner_follow(struct node *node);
+void nd_owner_leases(struct node *node);
+bool nd_owner_unit_idle(const struct node *node, uint32_t unit);
+void nd_owner_unit_drain(struct node *node, uint32_t unit);
+uint32_t nd_owner_running(const struct node *node);
+void nd_owner_answer(struct node *node,
+		     const struct nd_upstream_result *result);
+void nd_owner_free(struct node *node);
+struct nd_shard *nd_shard_get(struct node *node, int service, uint32_t index);
+struct nd_service *nd_service_get(struct node *node,
+				  const struct cfg_service *cfg);
+void nd_on_quarantine(struct node *node, const struct msg *msg);
+
+/* nd-batch.c */
+void nd_on_batch(struct node *node, const struct msg *msg);
+void nd_on_cancel(struct node *node, const struct msg *msg);
 
 /* nd-leaving.c */
 void nd_leaving_tick(struct node *node);
@@ -233,33 +238,43 @@
 void nd_leaving_done(struct node *node, const struct nd_store_result *result);
 void nd_on_leaving(struct node *node, const struct msg *msg);
 
-/* nd-query.c */
-void nd_query_tick(struct node *node);
-void nd_query_follow(struct node *node);
-void nd_query_vm_lost(struct node *node, uint32_t vm);
-void nd_query_reap(struct node *node);
-void nd_query_leave(struct node *node, struct qry_query *query,
-		    bool overloaded);
-void nd_on_result(struct node *node, const struct msg *msg);
-int nd_owner_of(const struct node *node, const struct cfg_service *service,
-		uint32_t shard);
+/* nd-greet.c */
+void nd_greet(struct node *node, uint32_t vm);
 
 /* nd-order.c */
+void nd_order_start(struct node *node, const struct nd_request *request);
 void nd_order_tick(struct node *node);
 void nd_order_free(gpointer data);
 bool nd_order_result(struct node *node, uint64_t number,
 		     const struct msg_sub_result *result);
+void nd_order_caller_gone(struct node *node, uint64_t caller);
 uint32_t nd_order_running(const struct node *node);
 void nd_on_vote(struct node *node, const struct msg *msg);
 void nd_on_vote_reply(struct node *node, const struct msg *msg);
 void nd_on_release(struct node *node, const struct msg *msg);
 void nd_on_outcome(struct node *node, const struct msg *msg);
 
-/* nd-roster.c */
-void nd_roster_tick(struct node *node);
-void nd_on_join(struct node *node, const struct msg *msg);
+/* nd-query.c */
+void nd_query_start(struct node *node, const struct nd_request *request);
+void nd_query_tick(struct node *node);
+void nd_query_follow(struct node *node);
+void nd_query_vm_lost(struct node *node, uint32_t vm);
+void nd_query_caller_gone(struct node *node, uint64_t caller);
+void nd_query_reap(struct node *node);
+void nd_on_result(struct node *node, const struct msg *msg);
+
+/* nd-member.c */
+void nd_member_tick(struct node *node);
+void nd_member_follow(struct node *node);
+void nd_member_hurry(struct node *node);
+void nd_on_heartbeat(struct node *node, const struct msg *msg);
+void nd_on_heartbeat_reply(struct node *node, const struct msg *msg);
 
 /* nd-plan.c */
+void nd_plan_make(struct node *node, uint64_t caller,
+		  const struct pln_intent *intent);
+void nd_plan_confirm(struct node *node, uint64_t caller, uint64_t plan,
+		     uint64_t base_version, const struct pln_intent *intent);
 void nd_plan_write(struct node *node, uint64_t caller, uint64_t plan,
 		   uint64_t base_version, struct cfg *next);
 void nd_plan_tick(struct node *node);
@@ -267,4 +282,8 @@
 			const struct nd_store_result *result);
 void nd_confirm_free(gpointer data);
 
+/* nd-roster.c */
+void nd_roster_tick(struct node *node);
+void nd_on_join(struct node *node, const struct msg *msg);
+
 #endif
--- a/packages/node/nd-leaving.c
+++ b/packages/node/nd-leaving.c
@@ -17,6 +17,7 @@
 static void take_hosts(struct node *node, const struct gb_str *hosts,
 		       uint32_t len);
 static void drain(struct node *node, struct cfg *cfg);
+static void make_view(struct node *node);
 static void fill(const struct node *node, struct msg *msg);
 
 /* The live member with the lowest id reads the list. */
@@ -73,7 +74,7 @@
 		g_hash_table_add(node->leaving.hosts, gb_str_to_c(hosts[i]));
 	nd_event_plain(node, EV_VMS_LEAVING, len, 0);
 	if (node->store.current)
-		nd_config_apply(node);
+		nd_leaving_follow(node);
 }
 
 static void drain(struct node *node, struct cfg *cfg)
@@ -96,7 +97,7 @@
 }
 
 /* Makes the view that upstreams follow from configuration and list. */
-void nd_leaving_follow(struct node *node)
+static void make_view(struct node *node)
 {
 	cfg_unref(node->view);
 	if (!g_hash_table_size(node->leaving.hosts)) {
@@ -107,6 +108,14 @@
 	drain(node, node->view);
 }
 
+/* Lets the upstreams follow the configuration and the list of VMs. */
+void nd_leaving_follow(struct node *node)
+{
+	make_view(node);
+	nd_warm_follow(node);
+	nd_owner_follow(node);
+}
+
 static void fill(const struct node *node, struct msg *msg)
 {
 	GHashTableIter iter;
--- a/packages/node/nd-member.c
+++ b/packages/node/nd-member.c
@@ -289,22 +289,6 @@
 	nd_member_hurry(node);
 }
 
-/*
- * Tells whether a majority of granters, with no newer configuration than this
- * VM's, answered within the last lease time.
- */
-bool nd_quorum(const struct node *node)
-{
-	const struct cfg *cfg = node->store.current;
-	uint32_t heard = 0;
-
-	for (uint32_t i = 0; i < cfg_granters(cfg); i++)
-		heard += node->reply_at[i] &&
-			 node->clock.now - node->reply_at[i] <
-				 node->settings.lease;
-	return heard >= cfg_majority(cfg);
-}
-
 /* Tells whether the sender has started since it was last heard. */
 static bool is_new_process(struct node *node, const struct msg *msg)
 {
--- a/packages/node/nd-node.c
+++ b/packages/node/nd-node.c
@@ -14,6 +14,14 @@
 
 static bool busy(const struct node *node);
 
+/* In the order in which they take a new configuration over. */
+static const nd_follower followers[] = {
+	nd_member_follow,
+	nd_leaving_follow,
+	nd_query_follow,
+	NULL,
+};
+
 void nd_settings_default(struct nd_settings *settings)
 {
 	*settings = (struct nd_settings){
@@ -41,6 +49,7 @@
 	node->settings.host = gb_str_dup(settings->host);
 	node->started = clock.now;
 	node->ops = ops;
+	node->followers = followers;
 	node->ctx = ctx;
 	node->metrics = metrics;
 	node->clock = clock;
@@ -113,57 +122,6 @@
 	g_free(node);
 }
 
-/* Returns an identity unique to this VM and process. */
-uint64_t nd_id(struct node *node)
-{
-	return node->id_base | ++node->id_next;
-}
-
-void nd_begin(struct node *node, struct nd_clock clock)
-{
-	node->clock = clock;
-}
-
-/* Handles all that the input has led to, then frees what has ended. */
-void nd_end(struct node *node)
-{
-	struct msg *msg;
-
-	for (;;) {
-		nd_work_flush(node);
-		msg = g_queue_pop_head(node->self_queue);
-		if (!msg)
-			break;
-		nd_dispatch(node, msg);
-		msg_free(msg);
-	}
-	nd_query_reap(node);
-	met_set(node->metrics, MET_QUERIES_RUNNING,
-		g_hash_table_size(node->queries));
-	met_set(node->metrics, MET_CALLS_RUNNING,
-		g_hash_table_size(node->calls));
-}
-
-void nd_tick(struct node *node, struct nd_clock clock)
-{
-	bool ready;
-
-	nd_begin(node, clock);
-	nd_member_tick(node);
-	nd_config_tick(node);
-	nd_leaving_tick(node);
-	nd_owner_tick(node);
-	nd_query_tick(node);
-	nd_order_tick(node);
-	nd_plan_tick(node);
-	nd_roster_tick(node);
-	ready = nd_ready(node);
-	if (ready != node->was_ready)
-		nd_event_plain(node, ready ? EV_READY : EV_UNREADY, 0, 0);
-	node->was_ready = ready;
-	nd_end(node);
-}
-
 /* Tells whether something may fall due before the next heartbeat. */
 static bool busy(const struct node *node)
 {
@@ -185,54 +143,6 @@
 	return next;
 }
 
-void nd_peer_msg(struct node *node, struct nd_clock clock,
-		 const struct msg *msg)
-{
-	nd_begin(node, clock);
-	met_add(node->metrics, MET_PEER_MESSAGES, 1);
-	ev_clock_merge(&node->hlc, clock.wall_ms, msg->hlc);
-	nd_dispatch(node, msg);
-	nd_end(node);
-}
-
-void nd_caller_gone(struct node *node, struct nd_clock clock, uint64_t caller)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	nd_begin(node, clock);
-	g_hash_table_iter_init(&iter, node->queries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct qry_query *query = value;
-
-		if (query->caller != caller || query->ended)
-			continue;
-		nd_event(node, EV_QUERY_CANCELLED, query->id, GB_STR(""),
-			 GB_STR(""), 0, 0);
-		qry_abandon(query);
-		nd_query_leave(node, query, false);
-	}
-	g_hash_table_iter_init(&iter, node->orders);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct nd_order *order = value;
-
-		if (order->caller == caller)
-			order->caller_gone = true;
-	}
-	nd_end(node);
-}
-
-void nd_shutdown(struct node *node, struct nd_clock clock)
-{
-	nd_begin(node, clock);
-	if (!node->stopping) {
-		node->stopping = true;
-		nd_event_plain(node, EV_STOP_BEGIN, 0, 0);
-		nd_member_hurry(node);
-	}
-	nd_end(node);
-}
-
 /*
  * All own queries and orders have ended, and so has the work for other VMs;
  * units without work have been released.
--- a/packages/node/nd-order.c
+++ b/packages/node/nd-order.c
@@ -44,6 +44,20 @@
 }
 
 /* Counts the orders whose callers still wait. */
+void nd_order_caller_gone(struct node *node, uint64_t caller)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->orders);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct nd_order *order = value;
+
+		if (order->caller == caller)
+			order->caller_gone = true;
+	}
+}
+
 uint32_t nd_order_running(const struct node *node)
 {
 	GHashTableIter iter;
@@ -303,14 +317,12 @@
 	return order;
 }
 
-void nd_order(struct node *node, struct nd_clock clock,
-	      const struct nd_request *request)
+void nd_order_start(struct node *node, const struct nd_request *request)
 {
 	struct msg msg = { .kind = MSG_VOTE };
 	struct nd_order *order = NULL;
 	enum gb_code code;
 
-	nd_begin(node, clock);
 	met_add(node->metrics, MET_ORDERS, 1);
 	code = admit(node, request);
 	if (code == GB_OK) {
@@ -321,12 +333,10 @@
 	}
 	if (code != GB_OK) {
 		refuse(node, request, code);
-		goto out;
+		return;
 	}
 	once_attempt_message(&order->attempt, &msg.vote);
 	nd_send_granters(node, &msg);
-out:
-	nd_end(node);
 }
 
 bool nd_order_result(struct node *node, uint64_t number,
--- a/packages/node/nd-owner.c
+++ b/packages/node/nd-owner.c
@@ -297,8 +297,7 @@
 		  msg->quarantine.crashes);
 }
 
-void nd_upstream_done(struct node *node, struct nd_clock clock,
-		      const struct nd_upstream_result *result)
+void nd_owner_answer(struct node *node, const struct nd_upstream_result *result)
 {
 	static const enum shd_status statuses[] = {
 		[ND_UPSTREAM_OK] = SHD_OK,
@@ -322,15 +321,12 @@
 		.body = result->body,
 	};
 
-	nd_begin(node, clock);
 	entry = g_hash_table_lookup(node->calls, &result->call);
 	if (!entry) {
 		met_add(node->metrics, MET_ANSWERS_DROPPED, 1);
-		nd_end(node);
 		return;
 	}
 	g_hash_table_remove(node->calls, &result->call);
-	if (!shd_answer(entry->shard, clock.now, &answer))
+	if (!shd_answer(entry->shard, node->clock.now, &answer))
 		met_add(node->metrics, MET_ANSWERS_DROPPED, 1);
-	nd_end(node);
 }
--- a/packages/node/nd-plan.c
+++ b/packages/node/nd-plan.c
@@ -47,25 +47,22 @@
 	return GB_STR("");
 }
 
-void nd_plan(struct node *node, struct nd_clock clock, uint64_t caller,
-	     const struct pln_intent *intent)
+void nd_plan_make(struct node *node, uint64_t caller,
+		  const struct pln_intent *intent)
 {
 	struct pln_plan *plan = NULL;
 	struct gb_error err = { .code = GB_ERR_NOT_RUN };
 
-	nd_begin(node, clock);
 	if (!node->store.current ||
 	    pln_make(node->store.current, intent, gb_rng_next(&node->rng),
 		     &plan, &err)) {
 		respond(node, caller, err.code, 0, NULL);
-		goto out;
+		return;
 	}
 	nd_event(node, EV_PLAN_MADE, GB_STR(""), GB_STR(""), dc_of(intent),
 		 (int64_t)plan->id, plan->base_version);
 	respond(node, caller, GB_OK, plan->base_version, plan);
 	pln_free(plan);
-out:
-	nd_end(node);
 }
 
 static bool changes_roster(enum pln_kind kind)
@@ -73,37 +70,33 @@
 	return kind == PLN_VM_ADD || kind == PLN_VM_REMOVE;
 }
 
-void nd_confirm(struct node *node, struct nd_clock clock, uint64_t caller,
-		uint64_t plan, uint64_t base_version,
-		const struct pln_intent *intent)
+void nd_plan_confirm(struct node *node, uint64_t caller, uint64_t plan,
+		     uint64_t base_version, const struct pln_intent *intent)
 {
 	const struct cfg *cfg = node->store.current;
 	struct cfg *next;
 	struct gb_error err = { .code = GB_ERR_NOT_RUN };
 
-	nd_begin(node, clock);
 	/* An operator who lost the answer may confirm the same plan again. */
 	if (cfg && cfg_has_change(cfg, plan)) {
 		respond(node, caller, GB_OK, cfg->version, NULL);
-		goto out;
+		return;
 	}
 	if (cfg && changes_roster(intent->kind) &&
-	    !quo_epoch_settled(&node->members, cfg, clock.now,
+	    !quo_epoch_settled(&node->members, cfg, node->clock.now,
 			       node->settings.lease)) {
 		respond(node, caller, GB_ERR_IN_PROGRESS, cfg->version, NULL);
-		goto out;
+		return;
 	}
-	if (!cfg || pln_apply(cfg, intent, plan, base_version, clock.wall_ms,
-			      &next, &err)) {
+	if (!cfg || pln_apply(cfg, intent, plan, base_version,
+			      node->clock.wall_ms, &next, &err)) {
 		if (err.code == GB_ERR_CONFLICT)
 			nd_event_plain(node, EV_PLAN_CONFLICT, (int64_t)plan,
 				       base_version);
 		respond(node, caller, err.code, cfg ? cfg->version : 0, NULL);
-		goto out;
+		return;
 	}
 	nd_plan_write(node, caller, plan, base_version, next);
-out:
-	nd_end(node);
 }
 
 /* Writes a changed configuration, takes it over, and answers the caller. */
--- a/packages/node/nd-query.c
+++ b/packages/node/nd-query.c
@@ -9,6 +9,7 @@
 static void on_done(void *ctx, struct qry_query *query, enum gb_code code);
 static void send_batch(struct node *node, struct qry_query *query, uint32_t vm,
 		       struct msg_sub *subs, uint32_t len, bool canary);
+static void leave(struct node *node, struct qry_query *query, bool overloaded);
 static void refuse(struct node *node, const struct nd_request *request,
 		   enum gb_code code);
 static enum gb_code admit(struct node *node, const struct nd_request *request,
@@ -28,13 +29,6 @@
 	.done = on_done,
 };
 
-/* Roster index of the owner of a shard; -1 if it has none. */
-int nd_owner_of(const struct node *node, const struct cfg_service *service,
-		uint32_t shard)
-{
-	return node->owner[cfg_unit(service, shard)];
-}
-
 static void send_batch(struct node *node, struct qry_query *query, uint32_t vm,
 		       struct msg_sub *subs, uint32_t len, bool canary)
 {
@@ -180,8 +174,7 @@
 	if (code == GB_OK)
 		sus_success(node->suspects, node->clock.now,
 			    query->fingerprint);
-	nd_query_leave(node, query,
-		       qry_degraded(query) == QRY_DEGRADED_OVERLOAD);
+	leave(node, query, qry_degraded(query) == QRY_DEGRADED_OVERLOAD);
 	count_end(node, query, code);
 	nd_event(node, EV_QUERY_END, query->id, GB_STR(""), GB_STR(""), code,
 		 node->clock.now - query->begin);
@@ -189,7 +182,7 @@
 }
 
 /* Gives the query's place in its service's admission back. */
-void nd_query_leave(struct node *node, struct qry_query *query, bool overloaded)
+static void leave(struct node *node, struct qry_query *query, bool overloaded)
 {
 	struct nd_service *service =
 		nd_service_get(node, cfg_service(query->cfg, query->service));
@@ -256,8 +249,7 @@
 	return GB_OK;
 }
 
-void nd_lookup(struct node *node, struct nd_clock clock,
-	       const struct nd_request *request)
+void nd_query_start(struct node *node, const struct nd_request *request)
 {
 	struct qry_request in = {
 		.caller = request->caller,
@@ -271,23 +263,20 @@
 	struct qry_query *query;
 	enum gb_code code;
 
-	nd_begin(node, clock);
 	met_add(node->metrics, MET_QUERIES, 1);
 	code = admit(node, request, &in);
 	if (code != GB_OK) {
 		refuse(node, request, code);
-		goto out;
+		return;
 	}
 	in.number = nd_id(node);
 	service = nd_service_get(node, cfg_service(cfg, in.service));
-	query = qry_new(clock.now, cfg, &in, service->shared.policy, &query_ops,
-			node);
+	query = qry_new(node->clock.now, cfg, &in, service->shared.policy,
+			&query_ops, node);
 	g_hash_table_insert(node->queries, &query->number, query);
 	nd_event(node, EV_QUERY_BEGIN, request->id, GB_STR(""), GB_STR(""),
 		 query->snapshot->id, query->shards_len);
-	qry_start(query, clock.now);
-out:
-	nd_end(node);
+	qry_start(query, node->clock.now);
 }
 
 static void take_result(struct node *node, struct qry_query *query,
@@ -333,6 +322,24 @@
 	}
 }
 
+void nd_query_caller_gone(struct node *node, uint64_t caller)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->queries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct qry_query *query = value;
+
+		if (query->caller != caller || query->ended)
+			continue;
+		nd_event(node, EV_QUERY_CANCELLED, query->id, GB_STR(""),
+			 GB_STR(""), 0, 0);
+		qry_abandon(query);
+		leave(node, query, false);
+	}
+}
+
 void nd_query_follow(struct node *node)
 {
 	GHashTableIter iter;
