daemon: calls go one way between its files

Cause: five files called each other in a circle, and the loop that writes log lines without blocking stood in gd-log and in ev-log.

Change: clock, deferred functions, connections and waiting requests have files of their own below those that use them; ev_write() writes for both logs.

--- a/packages/daemon/gd-http.c
+++ b/packages/daemon/gd-http.c
@@ -11,16 +11,6 @@
 /* Time for a request to arrive on a connection before a stop closes it. */
 #define DRAIN_IDLE (200 * GB_MSEC)
 
-struct gd_conn {
-	uv_tcp_t tcp;
-	struct gd *gd;
-	h2o_socket_t *sock;
-	h2o_linklist_t link;
-	struct gd_waiting *waiting; /* NULL unless the node has its request */
-	gb_time opened_at;
-	gb_time answered_at; /* when the last answer began to be written */
-};
-
 struct handler {
 	h2o_handler_t super;
 	struct gd *gd;
@@ -32,8 +22,6 @@
 static int on_req(h2o_handler_t *self, h2o_req_t *req);
 static void on_sweep(uv_timer_t *timer);
 static bool is_idle(const struct gd_conn *conn, gb_time now);
-static void on_leaving(h2o_socket_t *sock, const char *err);
-static struct gd_conn *conn_of(const h2o_req_t *req);
 static bool is_path(const struct gd_route *route, struct gb_str path);
 
 int gd_http_init(struct gd *gd)
@@ -145,12 +133,6 @@
 	g_free(conn);
 }
 
-/* The socket's on_close.data leads from a request to its connection. */
-static struct gd_conn *conn_of(const h2o_req_t *req)
-{
-	return req->conn->callbacks->get_socket(req->conn)->on_close.data;
-}
-
 static bool is_path(const struct gd_route *route, struct gb_str path)
 {
 	return route->prefix ? gb_str_starts_with(path, route->path)
@@ -192,81 +174,6 @@
 	return 0;
 }
 
-void gd_http_answered(const h2o_req_t *req)
-{
-	conn_of(req)->answered_at = gd_now();
-}
-
-struct gd_waiting *gd_http_wait(struct gd *gd, h2o_req_t *req,
-				void (*gone)(struct gd *gd, uint64_t handle))
-{
-	struct gd_waiting *waiting = g_new0(struct gd_waiting, 1);
-
-	waiting->handle = ++gd->http.last_handle;
-	waiting->req = req;
-	waiting->conn = conn_of(req);
-	waiting->conn->waiting = waiting;
-	waiting->gone = gone;
-	g_hash_table_insert(gd->http.waiting, &waiting->handle, waiting);
-	return waiting;
-}
-
-struct gd_waiting *gd_http_find(struct gd *gd, uint64_t handle)
-{
-	return g_hash_table_lookup(gd->http.waiting, &handle);
-}
-
-/*
- * h2o does not read while a request is processed, so the end of the
- * connection would go unnoticed. Whatever is read stays in h2o's buffer.
- */
-void gd_http_watch(struct gd *gd, uint64_t handle)
-{
-	struct gd_waiting *waiting = gd_http_find(gd, handle);
-
-	if (waiting)
-		h2o_socket_read_start(waiting->conn->sock, on_leaving);
-}
-
-static void on_leaving(h2o_socket_t *sock, const char *err)
-{
-	struct gd_conn *conn = sock->on_close.data;
-	struct gd_waiting *waiting = conn->waiting;
-	struct gd *gd = conn->gd;
-	uint64_t handle;
-	void (*gone)(struct gd *, uint64_t);
-	h2o_req_t *req;
-
-	/* The next request has come early; it waits for this one. */
-	if (!err) {
-		h2o_socket_read_stop(sock);
-		return;
-	}
-	if (!waiting)
-		return;
-	handle = waiting->handle;
-	gone = waiting->gone;
-	req = gd_http_finish(gd, waiting);
-	if (gone)
-		gone(gd, handle);
-	/* Nobody reads this answer; it makes h2o close the connection. */
-	req->http1_is_persistent = 0;
-	gd_http_reply(gd, req, 503, GB_STR("application/json"), GB_STR("{}"));
-}
-
-h2o_req_t *gd_http_finish(struct gd *gd, struct gd_waiting *waiting)
-{
-	h2o_req_t *req = waiting->req;
-
-	h2o_socket_read_stop(waiting->conn->sock);
-	waiting->conn->waiting = NULL;
-	g_hash_table_remove(gd->http.waiting, &waiting->handle);
-	if (waiting->has_intent)
-		js_intent_free(&waiting->intent);
-	g_free(waiting);
-	return req;
-}
-
 void gd_http_stop_listening(struct gd *gd)
 {
 	if (!gd->http.listening)
--- a/packages/daemon/gd-log.c
+++ b/packages/daemon/gd-log.c
@@ -1,7 +1,6 @@
 #include "daemon/gd.h"
+#include "event/ev-log.h"
 
-#include <errno.h>
-#include <poll.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -10,9 +9,6 @@
 /* Lines kept while standard error takes none; more are counted only. */
 #define LOG_BUFFER_MAX (256 * 1024)
 
-/* A pipe that polls as writable takes at least this much at once. */
-#define WRITE_MAX 4096
-
 static void add_time(struct gb_buf *out);
 
 void gd_log_init(struct gd_log *log, struct gb_str host, int severity)
@@ -56,28 +52,7 @@
 
 void gd_log_flush(struct gd_log *log)
 {
-	struct pollfd ready = { .fd = STDERR_FILENO, .events = POLLOUT };
-	size_t done = 0;
-
-	while (done < log->buf.len) {
-		size_t len = MIN(log->buf.len - done, WRITE_MAX);
-		ssize_t ret;
-
-		if (poll(&ready, 1, 0) <= 0 || !(ready.revents & POLLOUT))
-			break;
-		ret = write(STDERR_FILENO, log->buf.ptr + done, len);
-		if (ret < 0 && errno == EINTR)
-			continue;
-		if (ret < 0)
-			break;
-		done += ret;
-	}
-	if (done == log->buf.len) {
-		gb_buf_reset(&log->buf);
-	} else if (done) {
-		memmove(log->buf.ptr, log->buf.ptr + done, log->buf.len - done);
-		log->buf.len -= done;
-	}
+	ev_write(STDERR_FILENO, &log->buf);
 }
 
 void gd_event_take(struct gd *gd, const struct ev_event *event)
--- a/packages/daemon/gd-loop.c
+++ b/packages/daemon/gd-loop.c
@@ -1,7 +1,5 @@
 #include "daemon/gd.h"
 
-#include <time.h>
-
 /*
  * After readiness went off the balancer still sends callers until its next
  * check, so the daemon keeps accepting for at least this time.
@@ -14,33 +12,11 @@
 /* Interval at which a stopping daemon checks whether it is done. */
 #define STOP_POLL (10 * GB_MSEC)
 
-struct gd_deferred {
-	void (*run)(struct gd *gd, void *arg);
-	void *arg;
-};
-
 static void on_prepare(uv_prepare_t *prepare);
-static void on_idle(uv_idle_t *idle);
 static void on_tick(uv_timer_t *timer);
-static void run_deferred(struct gd *gd);
 static void arm_tick(struct gd *gd);
 static void stop_step(struct gd *gd, bool peers_idle);
-
-gb_time gd_now(void)
-{
-	return uv_hrtime() / 1000;
-}
-
-struct nd_clock gd_clock(void)
-{
-	struct timespec wall;
-
-	clock_gettime(CLOCK_REALTIME, &wall);
-	return (struct nd_clock){
-		.now = gd_now(),
-		.wall_ms = wall.tv_sec * 1000LL + wall.tv_nsec / 1000000,
-	};
-}
+static void on_idle(uv_idle_t *idle);
 
 void gd_loop_init(struct gd *gd)
 {
@@ -55,34 +31,13 @@
 	loop->tick.data = gd;
 }
 
-void gd_defer(struct gd *gd, void (*run)(struct gd *gd, void *arg), void *arg)
-{
-	struct gd_deferred *deferred = g_new(struct gd_deferred, 1);
-
-	deferred->run = run;
-	deferred->arg = arg;
-	g_queue_push_tail(&gd->loop.deferred, deferred);
-}
-
-/* Runs what is deferred now; what that defers waits for the next turn. */
-static void run_deferred(struct gd *gd)
-{
-	for (guint n = gd->loop.deferred.length; n > 0; n--) {
-		struct gd_deferred *deferred =
-			g_queue_pop_head(&gd->loop.deferred);
-
-		deferred->run(gd, deferred->arg);
-		g_free(deferred);
-	}
-}
-
 /* Does the work at the end of a loop turn, before the loop blocks. */
 static void on_prepare(uv_prepare_t *prepare)
 {
 	struct gd *gd = prepare->data;
 	bool peers_idle;
 
-	run_deferred(gd);
+	gd_run_deferred(gd);
 	peers_idle = gd_peer_flush(gd);
 	gd_log_flush(&gd->log);
 	arm_tick(gd);
@@ -95,10 +50,6 @@
 		uv_idle_stop(&gd->loop.idle);
 }
 
-static void on_idle(uv_idle_t *idle __attribute__((unused)))
-{
-}
-
 static void on_tick(uv_timer_t *timer)
 {
 	struct gd *gd = timer->data;
@@ -156,19 +107,6 @@
 		uv_stop(gd->uv);
 }
 
-int gd_address(struct gb_str host, uint16_t port, struct sockaddr_storage *addr,
-	       socklen_t *len)
+static void on_idle(uv_idle_t *idle __attribute__((unused)))
 {
-	char *text = gb_str_to_c(host);
-	int ret = -1;
-
-	if (!uv_ip4_addr(text, port, (struct sockaddr_in *)addr)) {
-		*len = sizeof(struct sockaddr_in);
-		ret = 0;
-	} else if (!uv_ip6_addr(text, port, (struct sockaddr_in6 *)addr)) {
-		*len = sizeof(struct sockaddr_in6);
-		ret = 0;
-	}
-	g_free(text);
-	return ret;
 }
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -101,6 +101,7 @@
 
 /* Runs a function once at the end of the loop turn. */
 void gd_defer(struct gd *gd, void (*run)(struct gd *gd, void *arg), void *arg);
+void gd_run_deferred(struct gd *gd);
 
 /* Begins the graceful stop; the loop ends when all work is done. */
 void gd_stop(struct gd *gd);
@@ -131,7 +132,15 @@
  *	once by gd_http_finish(); if its caller leaves first, gone() is called
  *	instead.
  */
-struct gd_conn;
+struct gd_conn {
+	uv_tcp_t tcp;
+	struct gd *gd;
+	h2o_socket_t *sock;
+	h2o_linklist_t link;
+	struct gd_waiting *waiting; /* NULL unless the node has its request */
+	gb_time opened_at;
+	gb_time answered_at; /* when the last answer began to be written */
+};
 
 struct gd_waiting {
 	uint64_t handle;
@@ -171,6 +180,8 @@
 		   struct gb_str type, struct gb_str body);
 void gd_http_error(struct gd *gd, h2o_req_t *req, const struct gb_error *err);
 
+struct gd_conn *gd_conn_of(const h2o_req_t *req);
+
 /* Notes that the answer of a request begins to be written. */
 void gd_http_answered(const h2o_req_t *req);
 
--- a/packages/event/ev-log.c
+++ b/packages/event/ev-log.c
@@ -1,19 +1,12 @@
 #include "event/ev-log.h"
 
-#include <errno.h>
 #include <glib.h>
 #include <inttypes.h>
-#include <poll.h>
-#include <string.h>
 #include <time.h>
-#include <unistd.h>
 
 /* Lines kept while the descriptor takes none. */
 #define BUFFER_MAX (256 * 1024)
 
-/* A pipe that polls as writable takes at least this much at once. */
-#define WRITE_MAX 4096
-
 void ev_log_init(struct ev_log *log, int fd, struct gb_str name,
 		 enum ev_severity severity, uint32_t rate)
 {
@@ -76,27 +69,8 @@
 
 void ev_log_flush(struct ev_log *log)
 {
-	struct pollfd ready = { .fd = log->fd, .events = POLLOUT };
-	size_t done = 0;
-
 	tell_dropped(log);
-	while (done < log->buf.len) {
-		size_t len = MIN(log->buf.len - done, WRITE_MAX);
-		ssize_t ret;
-
-		if (poll(&ready, 1, 0) <= 0 || !(ready.revents & POLLOUT))
-			break;
-		ret = write(log->fd, log->buf.ptr + done, len);
-		if (ret < 0 && errno == EINTR)
-			continue;
-		if (ret < 0)
-			break;
-		done += ret;
-	}
-	if (!done)
-		return;
-	log->buf.len -= done;
-	memmove(log->buf.ptr, log->buf.ptr + done, log->buf.len);
+	ev_write(log->fd, &log->buf);
 }
 
 void ev_log_free(struct ev_log *log)
--- a/packages/event/ev-log.h
+++ b/packages/event/ev-log.h
@@ -32,4 +32,7 @@
 void ev_log_flush(struct ev_log *log);
 void ev_log_free(struct ev_log *log);
 
+/* Writes what the descriptor takes without blocking and keeps the rest. */
+void ev_write(int fd, struct gb_buf *buf);
+
 #endif
