front: pass a replica's own refusal on, and count members once

The number of VMs that share limits was counted for each send; it is counted when a heartbeat arrives and twice a second.

Limits of callers have one set of defaults, the types of times in settings one text each.

--- a/packages/forward/fw-done.c
+++ b/packages/forward/fw-done.c
@@ -48,6 +48,14 @@
 	fw_cancel_running(part, now);
 }
 
+/* What a request is refused for by one upstream, others refuse it for, too. */
+static bool is_final(const struct fw_request *request,
+		     const struct fw_answer *answer)
+{
+	return !request->route->fanout && answer->status >= 400 &&
+	       answer->status < 500;
+}
+
 void fw_done(struct fw_call *call, gb_time now, enum fw_outcome outcome,
 	     struct fw_answer *answer)
 {
@@ -64,6 +72,8 @@
 	own_failure = outcome == FW_ANSWERED && !answer->success;
 	if (outcome == FW_ANSWERED && answer->success)
 		take_success(call, answer, now);
+	else if (own_failure && is_final(request, answer))
+		fw_part_missing(part);
 	else
 		fw_part_failed(part, call, now);
 	/* With nothing better to come, the upstream's own failure is it. */
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -21,12 +21,7 @@
 
 		route->data = fw_pace(&fr->engine, route->name);
 	}
-	fr->front.limits = (struct ht_limits){
-		.head_max = table->limits.head_max,
-		.body_max = table->limits.body_max,
-		.head_timeout = table->limits.head_timeout,
-		.idle_timeout = table->limits.idle_timeout,
-	};
+	fr_limit_callers(&fr->front, &table->limits);
 }
 
 static void on_routes(void *ctx, struct rt_table *table)
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -125,6 +125,7 @@
 
 /* Budget and limits that depend on settings and members. */
 void fr_update_limits(struct fr *fr);
+void fr_limit_callers(struct ht_server *server, const struct rt_limits *limits);
 void fr_take_settings(struct fr *fr);
 void fr_check_settings(struct fr *fr, bool told);
 
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -168,13 +168,13 @@
 		stop_tick(fr);
 }
 
-static void init_server(struct ht_server *server)
+void fr_limit_callers(struct ht_server *server, const struct rt_limits *limits)
 {
 	server->limits = (struct ht_limits){
-		.head_max = 16 * 1024,
-		.body_max = 256 * 1024,
-		.head_timeout = 3 * GB_SEC,
-		.idle_timeout = 15 * GB_SEC,
+		.head_max = limits->head_max,
+		.body_max = limits->body_max,
+		.head_timeout = limits->head_timeout,
+		.idle_timeout = limits->idle_timeout,
 	};
 }
 
@@ -185,7 +185,7 @@
 
 	if (!address.len)
 		return 0;
-	init_server(server);
+	fr_limit_callers(server, &rt_limits_default);
 	ret = ht_server_start(server, fr->loop, address, ops, fr);
 	if (ret)
 		fprintf(stderr, "gentianbend: %.*s: %s\n", (int)address.len,
--- a/packages/front/fr-member.c
+++ b/packages/front/fr-member.c
@@ -69,6 +69,7 @@
 	met_add(&fr->metrics, MET_PEER_MESSAGES, 1);
 	met_add(&fr->metrics, MET_PEER_BYTES, len);
 	mem_take(fr->members, ht_now(), &message);
+	fr_update_limits(fr);
 }
 
 static void send_to(void *ctx, struct gb_str address)
--- a/packages/front/fr-upstream.c
+++ b/packages/front/fr-upstream.c
@@ -141,9 +141,9 @@
 
 static uint32_t share_vms(void *ctx)
 {
-	struct fr *fr = ctx;
+	const struct fr *fr = ctx;
 
-	return mem_count(fr->members, ht_now());
+	return fr->engine.budget.vms;
 }
 
 static uint32_t share_rank(void *ctx, uint64_t key)
--- a/packages/route/rt-table.c
+++ b/packages/route/rt-table.c
@@ -41,17 +41,19 @@
 	g_free(service);
 }
 
+const struct rt_limits rt_limits_default = {
+	.head_max = DEFAULT_HEAD_MAX,
+	.body_max = DEFAULT_BODY_MAX,
+	.head_timeout = DEFAULT_HEAD_TIMEOUT,
+	.idle_timeout = DEFAULT_IDLE_TIMEOUT,
+};
+
 struct rt_table *rt_table_new(int64_t version)
 {
 	struct rt_table *table = g_new0(struct rt_table, 1);
 
 	table->version = version;
-	table->limits = (struct rt_limits){
-		.head_max = DEFAULT_HEAD_MAX,
-		.body_max = DEFAULT_BODY_MAX,
-		.head_timeout = DEFAULT_HEAD_TIMEOUT,
-		.idle_timeout = DEFAULT_IDLE_TIMEOUT,
-	};
+	table->limits = rt_limits_default;
 	table->routes = g_ptr_array_new_with_free_func(free_route);
 	table->services = g_ptr_array_new_with_free_func(free_service);
 	table->by_place = g_hash_table_new(place_hash, place_equal);
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -60,6 +60,9 @@
 	gb_time idle_timeout;
 };
 
+/* In force while no configuration is known, or where it names none. */
+extern const struct rt_limits rt_limits_default;
+
 struct rt_table {
 	int64_t version;
 	struct rt_limits limits;
--- a/packages/settings/set-option.h
+++ b/packages/settings/set-option.h
@@ -58,6 +58,9 @@
 extern const struct set_type set_type_endpoints; /* with commas */
 
 /* The text of an option of a type that keeps text. */
+/* What the types of times allow, whatever their numbers. */
+void set_allowed_ms(const struct set_option *option, struct gb_buf *out);
+void set_allowed_s(const struct set_option *option, struct gb_buf *out);
 void set_replace_text(const struct set_option *option, struct gb_str value,
 		      struct set_settings *settings);
 void set_release_text(const struct set_option *option,
--- a/packages/settings/set-type-front.c
+++ b/packages/settings/set-type-front.c
@@ -60,18 +60,6 @@
 		    option->min, option->max);
 }
 
-static void allowed_real_ms(const struct set_option *option, struct gb_buf *out)
-{
-	gb_buf_addf(out, "%" PRId64 " to %" PRId64 " milliseconds", option->min,
-		    option->max);
-}
-
-static void allowed_real_s(const struct set_option *option, struct gb_buf *out)
-{
-	gb_buf_addf(out, "%" PRId64 " to %" PRId64 " seconds", option->min,
-		    option->max);
-}
-
 static bool is_endpoint(struct gb_str value)
 {
 	struct gb_str host;
@@ -123,9 +111,9 @@
 const struct set_type set_type_real = { .parse = parse_real,
 					.allowed = allowed_real };
 const struct set_type set_type_real_ms = { .parse = parse_real_ms,
-					   .allowed = allowed_real_ms };
+					   .allowed = set_allowed_ms };
 const struct set_type set_type_real_s = { .parse = parse_real_s,
-					  .allowed = allowed_real_s };
+					  .allowed = set_allowed_s };
 const struct set_type set_type_endpoint = { .parse = parse_endpoint,
 					    .allowed = allowed_endpoint,
 					    .release = set_release_text };
--- a/packages/settings/set-type.c
+++ b/packages/settings/set-type.c
@@ -27,8 +27,6 @@
 static enum gb_code parse_s(const struct set_option *option,
 			    struct gb_str value, struct set_settings *settings);
 static void allowed_number(const struct set_option *option, struct gb_buf *out);
-static void allowed_ms(const struct set_option *option, struct gb_buf *out);
-static void allowed_s(const struct set_option *option, struct gb_buf *out);
 static enum gb_code parse_name(const struct set_option *option,
 			       struct gb_str value,
 			       struct set_settings *settings);
@@ -61,8 +59,9 @@
 const struct set_type set_type_size = { .parse = parse_size,
 					.allowed = allowed_number };
 const struct set_type set_type_ms = { .parse = parse_ms,
-				      .allowed = allowed_ms };
-const struct set_type set_type_s = { .parse = parse_s, .allowed = allowed_s };
+				      .allowed = set_allowed_ms };
+const struct set_type set_type_s = { .parse = parse_s,
+				     .allowed = set_allowed_s };
 const struct set_type set_type_name = { .parse = parse_name,
 					.allowed = allowed_name,
 					.release = set_release_text };
@@ -154,13 +153,13 @@
 	gb_buf_addf(out, "%" PRId64 " to %" PRId64, option->min, option->max);
 }
 
-static void allowed_ms(const struct set_option *option, struct gb_buf *out)
+void set_allowed_ms(const struct set_option *option, struct gb_buf *out)
 {
 	allowed_number(option, out);
 	gb_buf_add(out, GB_STR(" milliseconds"));
 }
 
-static void allowed_s(const struct set_option *option, struct gb_buf *out)
+void set_allowed_s(const struct set_option *option, struct gb_buf *out)
 {
 	allowed_number(option, out);
 	gb_buf_add(out, GB_STR(" seconds"));
