member: pings in place of heartbeats, so that the cost does not grow

Cause: each VM told three others nine rows of heartbeats twice a second.

Change: a VM pings one member each half second; an answer that is missing leads to a suspicion, which the suspected member ends by counting itself up. Rows are told as news, and a digest of the live members tells when an answer has to be filled with further rows. A VM that starts asks the seeds for the stored objects before it asks the store, since all may start at once.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -12,6 +12,9 @@
 /* A VM that knows nothing yet serves nobody, so it asks more often. */
 #define BACKOFF_UNSYNCED (150 * GB_MSEC)
 
+/* Other VMs start at the same time as this one, and their calls are free. */
+#define BACKOFF_PEER (50 * GB_MSEC)
+
 /*
  * A store that is down may take a request and never answer it, so the first
  * tries are short; a slow store gets longer with each failure. A VM that
@@ -83,14 +86,17 @@
 	follower->step = DIR_LIST;
 }
 
-void dir_failed(struct dir_follower *follower, gb_time now)
+void dir_failed(struct dir_follower *follower, gb_time now, bool peer)
 {
 	gb_time pause = BACKOFF_MIN << MIN(follower->failures, DOUBLINGS_MAX);
 
 	if (!follower->failing_since)
 		follower->failing_since = now;
 	follower->failures++;
-	pause = MIN(pause, follower->synced ? BACKOFF_MAX : BACKOFF_UNSYNCED);
+	if (follower->synced)
+		pause = MIN(pause, BACKOFF_MAX);
+	else
+		pause = peer ? BACKOFF_PEER : MIN(pause, BACKOFF_UNSYNCED);
 	follower->due = now + pause;
 }
 
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -50,7 +50,9 @@
 void dir_watched(struct dir_follower *follower, gb_time now, int64_t revision,
 		 size_t changes);
 void dir_history_lost(struct dir_follower *follower, gb_time now);
-void dir_failed(struct dir_follower *follower, gb_time now);
+
+/* peer tells that another VM was asked, and not the store. */
+void dir_failed(struct dir_follower *follower, gb_time now, bool peer);
 
 /* Time after which an unanswered step counts as failed. */
 gb_time dir_timeout(const struct dir_follower *follower);
--- a/packages/directory/tests/directory-test.c
+++ b/packages/directory/tests/directory-test.c
@@ -78,7 +78,7 @@
 {
 	struct ctx *ctx = data;
 
-	dir_failed(&ctx->follower, at(args));
+	dir_failed(&ctx->follower, at(args), scr_int(args, GB_STR("peer"), 0));
 	print(ctx, out);
 }
 
--- a/packages/front/fr-control.c
+++ b/packages/front/fr-control.c
@@ -40,7 +40,7 @@
 	gb_buf_addf(out, "config_version %lld\n",
 		    fr->book.table ? (long long)fr->book.table->version : 0LL);
 	gb_buf_addf(out, "upstreams %zu\n", fl_len(fr->fleet));
-	gb_buf_addf(out, "vms_live %u\n", mem_live(fr->members, now));
+	gb_buf_addf(out, "vms_live %u\n", mem_live(fr->members));
 	gb_buf_addf(out, "vms_counted %u\n", mem_count(fr->members, now));
 	gb_buf_addf(out, "queries_running %u\n", fr->queries.length);
 	for (int kind = 0; kind < FR_KINDS; kind++) {
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -165,7 +165,7 @@
 	if (follow->fr->platform->read_list(follow->kind,
 					    gb_buf_str(&follow->call.body),
 					    &sink, follow->fr, &page)) {
-		dir_failed(&follow->follower, now);
+		dir_failed(&follow->follower, now, !follow->at_store);
 		return;
 	}
 	end_list(follow, &page);
@@ -224,7 +224,7 @@
 
 static void fail(struct fr_follow *follow)
 {
-	dir_failed(&follow->follower, ht_now());
+	dir_failed(&follow->follower, ht_now(), !follow->at_store);
 	tell_lost(follow);
 	fr_mirror_changed(follow);
 }
@@ -312,6 +312,7 @@
 		return;
 	}
 	follow->running = true;
+	follow->asked_at = ht_now();
 	source = fr_choose_source(follow, ht_now());
 	arm(follow, ht_now() + dir_timeout(&follow->follower));
 	ht_call_start(&follow->call, source, &call_ops);
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -32,7 +32,9 @@
 	GQueue polls; /* of struct fr_poll: VMs that wait for changes */
 	bool at_store; /* the store is asked, not another VM */
 	struct fr_peer *peer; /* the VM that is asked */
+	gb_time asked_at;
 	gb_time answered_at;
+	bool silent; /* the VM that was asked last did not answer in time */
 	gb_time avoid_store_until; /* it failed lately, and a VM can tell */
 	struct ht_call call;
 	bool running;
@@ -118,6 +120,9 @@
 int fr_member_start(struct fr *fr);
 void fr_member_tick(struct fr *fr);
 
+/* Tells whether this VM is one of those that all know from the start. */
+bool fr_is_seed(const struct fr *fr);
+
 /* Readiness, metrics and status. */
 extern const struct ht_server_ops fr_ready_ops;
 extern const struct ht_server_ops fr_control_ops;
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -153,7 +153,8 @@
 	gb_time now = ht_now();
 
 	fr->ticks++;
-	if (fr->ticks % TICKS_BEAT == 0) {
+	/* A VM that has just started has to learn of the others soon. */
+	if (fr->ticks % TICKS_BEAT == 0 || !mem_settled(fr->members, now)) {
 		fr_member_tick(fr);
 		fr_update_limits(fr);
 	}
--- a/packages/front/fr-member.c
+++ b/packages/front/fr-member.c
@@ -2,25 +2,19 @@
 
 #include "wire/wire-member.h"
 
-/*
- * Heartbeats travel through a few members at a time, so that one of a large
- * tier may need some intervals to reach all.
- */
-#define SILENT_AFTER (8 * GB_SEC)
+#define INTERVAL (500 * GB_MSEC)
+
+/* A VM with half a core may take long for an answer, but not so long. */
+#define ANSWER_TIME (1 * GB_SEC)
+#define SUSPICION (5 * GB_SEC)
 
 /* A VM that is cut off may still send, so it counts for longer. */
-#define COUNTED_FOR (20 * GB_SEC)
+#define COUNTED_FOR (12 * GB_SEC)
 
 #define SETTLE_TIME (1500 * GB_MSEC)
-#define TOLD_AT_ONCE 3
 
 static char read_buffer[WIRE_MEMBER_MAX];
 
-struct sending {
-	struct fr *fr;
-	struct gb_str bytes;
-};
-
 /* Appends the host of "HOST:PORT" with the port for datagrams. */
 static void member_address(const struct fr *fr, struct gb_str text,
 			   struct gb_buf *out)
@@ -72,33 +66,43 @@
 	fr_update_limits(fr);
 }
 
-static void send_to(void *ctx, struct gb_str address)
+static void on_send(void *ctx, struct gb_str address,
+		    const struct mem_message *message)
 {
-	const struct sending *sending = ctx;
+	struct gb_buf bytes = GB_BUF_INIT;
 	struct sockaddr_storage addr;
-	uv_buf_t buf =
-		uv_buf_init((char *)sending->bytes.ptr, sending->bytes.len);
+	struct fr *fr = ctx;
+	uv_buf_t buf;
 
 	if (ht_address(address, &addr))
 		return;
+	wire_member_encode(message, &bytes);
+	buf = uv_buf_init(bytes.ptr, bytes.len);
 	/* A datagram that the socket does not take is lost like others. */
-	uv_udp_try_send(&sending->fr->udp, &buf, 1, (struct sockaddr *)&addr);
-	met_add(&sending->fr->metrics, MET_CONTROL_BYTES, sending->bytes.len);
+	uv_udp_try_send(&fr->udp, &buf, 1, (struct sockaddr *)&addr);
+	met_add(&fr->metrics, MET_CONTROL_BYTES, bytes.len);
+	gb_buf_free(&bytes);
 }
 
+static const struct mem_ops member_ops = { .send = on_send };
+
 void fr_member_tick(struct fr *fr)
 {
-	struct mem_message message;
-	struct gb_buf bytes = GB_BUF_INIT;
-	struct sending sending = { .fr = fr };
-	gb_time now = ht_now();
+	mem_beat(fr->members, ht_now());
+	met_set(&fr->metrics, MET_MEMBERS_LIVE, mem_live(fr->members));
+}
 
-	mem_beat(fr->members, now, &message);
-	wire_member_encode(&message, &bytes);
-	sending.bytes = gb_buf_str(&bytes);
-	mem_targets(fr->members, now, send_to, &sending);
-	gb_buf_free(&bytes);
-	met_set(&fr->metrics, MET_MEMBERS_LIVE, mem_live(fr->members, now));
+bool fr_is_seed(const struct fr *fr)
+{
+	struct gb_str rest = fr->settings.seeds, seed;
+	bool more = rest.len > 0;
+
+	while (more) {
+		more = gb_str_cut(&rest, ',', &seed);
+		if (gb_str_eq(gb_str_trim(seed), fr->settings.control))
+			return true;
+	}
+	return false;
 }
 
 int fr_member_start(struct fr *fr)
@@ -107,17 +111,18 @@
 	struct sockaddr_storage addr;
 	struct mem_settings settings = {
 		.incarnation = g_get_real_time() / 1000,
-		.silent = SILENT_AFTER,
+		.interval = INTERVAL,
+		.answer = ANSWER_TIME,
+		.suspicion = SUSPICION,
 		.counted = COUNTED_FOR,
 		.settle = SETTLE_TIME,
-		.fanout = TOLD_AT_ONCE,
 	};
 
 	member_address(fr, fr->settings.listen, &own);
 	/* The table keeps the address for the life of the process. */
 	settings.address = gb_str_dup(gb_buf_str(&own));
 	gb_buf_free(&own);
-	fr->members = mem_new(&settings, ht_now(), &fr->rng);
+	fr->members = mem_new(&settings, &member_ops, fr, ht_now(), &fr->rng);
 	add_seeds(fr);
 	if (ht_address(settings.address, &addr))
 		return UV_EINVAL;
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -14,6 +14,7 @@
 
 /* Sources are a few milliseconds away; a lost packet is sent anew sooner. */
 #define CONNECT_TIMEOUT (400 * GB_MSEC)
+#define CONNECT_TIMEOUT_PEER (200 * GB_MSEC)
 
 /*
  * How long a source may hold a request while nothing changes. A connection
@@ -37,16 +38,26 @@
 #define DRAWS 8
 
 /*
- * Where the readers fail, every fourth try goes to the store: in an outage of
- * the store itself all of them fail, and each refused call is billed.
+ * Where other VMs fail, one in so many tries goes to the store: in an outage
+ * of the store itself all of them fail, and each refused call is billed. A VM
+ * that starts asks other VMs that may be starting as well, at short pauses.
  */
 #define STORE_EACH 4
+#define STORE_EACH_UNSYNCED 8
 
+/* A VM that runs answers sooner, or refuses the connection. */
+#define SILENT_AFTER (150 * GB_MSEC)
+
+/*
+ * A VM that starts does not know the others yet; all of them may start at
+ * once, so just the seeds ask the store, and the others the seeds.
+ */
 static bool is_reader(const struct fr *fr, gb_time now)
 {
-	return mem_live(fr->members, now) <= DIRECT_VMS ||
-	       !mem_settled(fr->members, now) ||
-	       mem_rank(fr->members, now, READERS_KEY) < READERS;
+	if (!mem_settled(fr->members, now))
+		return fr_is_seed(fr) || !fr->settings.seeds.len;
+	return mem_live(fr->members) <= DIRECT_VMS ||
+	       mem_rank(fr->members, READERS_KEY) < READERS;
 }
 
 /* The control address of a VM has the same port on all of them. */
@@ -77,7 +88,7 @@
 	target = ht_target_new(fr->loop, address, SOURCE_CONNS);
 	if (!target)
 		goto out;
-	target->connect_timeout = CONNECT_TIMEOUT;
+	target->connect_timeout = CONNECT_TIMEOUT_PEER;
 	peer = g_new0(struct fr_peer, 1);
 	peer->target = target;
 	g_hash_table_insert(fr->peers, g_strdup(key), peer);
@@ -93,15 +104,16 @@
  */
 static struct fr_peer *choose_peer(struct fr *fr, gb_time now)
 {
-	uint32_t ranks =
-		mem_live(fr->members, now) > DIRECT_VMS ? READERS : UINT32_MAX;
+	bool few = mem_live(fr->members) <= DIRECT_VMS;
 	struct fr_peer *peer = NULL;
 	struct gb_str member;
 
 	if (!fr->settings.control.len)
 		return NULL;
 	for (int i = 0; i < DRAWS; i++) {
-		if (!mem_pick(fr->members, now, READERS_KEY, ranks, &member))
+		if (!mem_pick(fr->members, READERS_KEY, few ? 0 : READERS,
+			      &member) &&
+		    !mem_pick_seed(fr->members, &member))
 			return NULL;
 		peer = find_peer(fr, member);
 		if (peer && peer->avoid_until <= now)
@@ -114,8 +126,14 @@
 {
 	uint32_t failures = follow->follower.failures;
 
-	if (!is_reader(follow->fr, now))
-		return failures % STORE_EACH == STORE_EACH - 1;
+	if (!is_reader(follow->fr, now)) {
+		uint32_t each = follow->follower.synced ? STORE_EACH
+							: STORE_EACH_UNSYNCED;
+
+		if (!follow->follower.synced && follow->silent)
+			return true;
+		return failures % each == each - 1;
+	}
 	if (!failures)
 		return now >= follow->avoid_store_until;
 	return failures % 2 == 0;
@@ -140,12 +158,12 @@
 	if (!prefers_store(follow, now))
 		peer = choose_peer(fr, now);
 	/* With all readers away a VM that has not tried the store yet does. */
-	if (peer && peer->avoid_until > now &&
+	if (peer && peer->avoid_until > now && follow->follower.synced &&
 	    follow->follower.failures < STORE_EACH)
 		peer = NULL;
 	follow->peer = peer;
 	follow->at_store = !peer;
-	if (follow->at_store && mem_live(fr->members, now) <= DIRECT_VMS)
+	if (follow->at_store && mem_live(fr->members) <= DIRECT_VMS)
 		wait = WAIT_ALONE;
 	dir_begin(&follow->follower, wait);
 	return peer ? peer->target : store_target(fr);
@@ -155,6 +173,8 @@
 {
 	gb_time now = ht_now();
 
+	follow->silent = !follow->at_store && !answered &&
+			 now - follow->asked_at >= SILENT_AFTER;
 	if (follow->at_store)
 		follow->avoid_store_until = good ? 0 : now + AVOID_STORE;
 	else if (!good)
--- a/packages/front/fr-upstream.c
+++ b/packages/front/fr-upstream.c
@@ -148,9 +148,9 @@
 
 static uint32_t share_rank(void *ctx, uint64_t key)
 {
-	struct fr *fr = ctx;
+	const struct fr *fr = ctx;
 
-	return mem_rank(fr->members, ht_now(), key);
+	return mem_rank(fr->members, key);
 }
 
 const struct fl_share fr_share = { .vms = share_vms, .rank = share_rank };
--- /dev/null
+++ b/packages/member/mem-table.c
@@ -0,0 +1,252 @@
+#include "member/mem-internal.h"
+
+#include <string.h>
+
+/* News is told this many times for each doubling of the tier. */
+#define TELLS_PER_DOUBLING 1
+
+/* After the start the number that others know is taken for so long. */
+#define HEARD_FOR (6 * GB_SEC)
+
+struct gb_str mem_address(const struct mem_row *row)
+{
+	return (struct gb_str){ row->address, row->address_len };
+}
+
+static void set_address(struct mem_row *row, struct gb_str address)
+{
+	row->address_len = MIN(address.len, MEM_ADDRESS_MAX);
+	memcpy(row->address, address.ptr, row->address_len);
+}
+
+static guint address_hash(gconstpointer key)
+{
+	return (guint)gb_hash(mem_address(key), 0);
+}
+
+static gboolean address_equal(gconstpointer a, gconstpointer b)
+{
+	return gb_str_eq(mem_address(a), mem_address(b));
+}
+
+struct mem_table *mem_new(const struct mem_settings *settings,
+			  const struct mem_ops *ops, void *ctx, gb_time now,
+			  struct gb_rng *rng)
+{
+	struct mem_table *table = g_new0(struct mem_table, 1);
+
+	table->settings = *settings;
+	table->ops = ops;
+	table->ctx = ctx;
+	table->rng = rng;
+	table->started = now;
+	table->beaten_at = now;
+	table->own.incarnation = settings->incarnation;
+	set_address(&table->own, settings->address);
+	table->members = g_ptr_array_new_with_free_func(g_free);
+	table->by_address = g_hash_table_new(address_hash, address_equal);
+	table->seeds = g_ptr_array_new_with_free_func(g_free);
+	return table;
+}
+
+void mem_free(struct mem_table *table)
+{
+	g_hash_table_destroy(table->by_address);
+	g_ptr_array_free(table->members, TRUE);
+	g_ptr_array_free(table->seeds, TRUE);
+	g_free(table);
+}
+
+void mem_add_seed(struct mem_table *table, struct gb_str address)
+{
+	struct mem_row *seed;
+
+	if (!address.len || gb_str_eq(address, mem_address(&table->own)))
+		return;
+	seed = g_new0(struct mem_row, 1);
+	set_address(seed, address);
+	g_ptr_array_add(table->seeds, seed);
+}
+
+struct mem_member *mem_find(const struct mem_table *table,
+			    struct gb_str address)
+{
+	struct mem_row key = { 0 };
+
+	set_address(&key, address);
+	return g_hash_table_lookup(table->by_address, &key);
+}
+
+struct mem_member *mem_add(struct mem_table *table, const struct mem_row *row)
+{
+	struct mem_member *member = g_new0(struct mem_member, 1);
+	guint at = gb_rng_below(table->rng, table->members->len + 1);
+
+	member->row = *row;
+	g_ptr_array_insert(table->members, at, member);
+	/* The row is the first field, so the key lives with the member. */
+	g_hash_table_insert(table->by_address, &member->row, member);
+	return member;
+}
+
+void mem_remove_at(struct mem_table *table, guint at)
+{
+	struct mem_member *member = table->members->pdata[at];
+
+	g_hash_table_remove(table->by_address, &member->row);
+	g_ptr_array_remove_index(table->members, at);
+}
+
+void mem_set_state(struct mem_table *table, struct mem_member *member,
+		   enum mem_state state, gb_time now)
+{
+	if (member->row.state != state)
+		member->since = now;
+	member->row.state = state;
+	member->pinged_at = 0;
+	mem_tell(table, member);
+}
+
+void mem_tell(struct mem_table *table, struct mem_member *member)
+{
+	uint32_t doublings = 1;
+
+	for (guint n = table->members->len; n; n /= 2)
+		doublings++;
+	member->tells = TELLS_PER_DOUBLING * doublings;
+}
+
+static uint64_t hash_of(const struct mem_row *row)
+{
+	return gb_hash(mem_address(row), row->incarnation);
+}
+
+uint64_t mem_digest(const struct mem_table *table)
+{
+	uint64_t digest = hash_of(&table->own);
+
+	for (guint i = 0; i < table->members->len; i++) {
+		const struct mem_member *member = table->members->pdata[i];
+
+		if (member->row.state != MEM_GONE)
+			digest ^= hash_of(&member->row);
+	}
+	return digest;
+}
+
+/* A VM that has just started goes by the number that others know. */
+static uint32_t least_count(const struct mem_table *table, gb_time now)
+{
+	uint32_t seeds = table->seeds->len + 1;
+
+	if (now - table->started >= HEARD_FOR)
+		return seeds;
+	return MAX(seeds, table->heard_live);
+}
+
+uint32_t mem_count(const struct mem_table *table, gb_time now)
+{
+	uint32_t count = 1;
+
+	for (guint i = 0; i < table->members->len; i++) {
+		const struct mem_member *member = table->members->pdata[i];
+
+		count += member->row.state != MEM_GONE ||
+			 now - member->since < table->settings.counted;
+	}
+	return MAX(count, least_count(table, now));
+}
+
+uint32_t mem_live(const struct mem_table *table)
+{
+	uint32_t count = 1;
+
+	for (guint i = 0; i < table->members->len; i++) {
+		const struct mem_member *member = table->members->pdata[i];
+
+		count += member->row.state != MEM_GONE;
+	}
+	return count;
+}
+
+bool mem_settled(const struct mem_table *table, gb_time now)
+{
+	return now - table->started >= table->settings.settle;
+}
+
+static uint64_t rendezvous(const struct mem_row *row, uint64_t key)
+{
+	return gb_hash(mem_address(row), key);
+}
+
+uint32_t mem_rank(const struct mem_table *table, uint64_t key)
+{
+	uint64_t own = rendezvous(&table->own, key);
+	uint32_t rank = 0;
+
+	for (guint i = 0; i < table->members->len; i++) {
+		const struct mem_member *member = table->members->pdata[i];
+
+		rank += member->row.state != MEM_GONE &&
+			rendezvous(&member->row, key) > own;
+	}
+	return rank;
+}
+
+static bool pick_any(const struct mem_table *table, struct gb_str *address)
+{
+	uint32_t found = 0;
+
+	for (guint i = 0; i < table->members->len; i++) {
+		const struct mem_member *member = table->members->pdata[i];
+
+		if (member->row.state == MEM_GONE)
+			continue;
+		/* Each of those found is kept with the same chance. */
+		if (!gb_rng_below(table->rng, ++found))
+			*address = mem_address(&member->row);
+	}
+	return found > 0;
+}
+
+bool mem_pick(const struct mem_table *table, uint64_t key, uint32_t ranks,
+	      struct gb_str *address)
+{
+	const struct mem_row *first[MEM_RANKS_MAX];
+	uint64_t hash[MEM_RANKS_MAX];
+	uint32_t len = 0;
+
+	if (!ranks)
+		return pick_any(table, address);
+	ranks = MIN(ranks, MEM_RANKS_MAX);
+	for (guint i = 0; i < table->members->len; i++) {
+		const struct mem_member *member = table->members->pdata[i];
+		uint64_t own = rendezvous(&member->row, key);
+		uint32_t at;
+
+		if (member->row.state == MEM_GONE ||
+		    (len == ranks && own <= hash[len - 1]))
+			continue;
+		len = MIN(len + 1, ranks);
+		for (at = len - 1; at && hash[at - 1] < own; at--) {
+			hash[at] = hash[at - 1];
+			first[at] = first[at - 1];
+		}
+		hash[at] = own;
+		first[at] = &member->row;
+	}
+	if (!len)
+		return false;
+	*address = mem_address(first[gb_rng_below(table->rng, len)]);
+	return true;
+}
+
+bool mem_pick_seed(const struct mem_table *table, struct gb_str *address)
+{
+	if (!table->seeds->len)
+		return false;
+	*address = mem_address(
+		table->seeds
+			->pdata[gb_rng_below(table->rng, table->seeds->len)]);
+	return true;
+}
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -6,78 +6,109 @@
  *	mem - the live VMs of the tier, by datagrams between them
  *
  * DESCRIPTION
- *	Each VM counts its own heartbeat up and tells, each interval, what it
- *	knows of all members to a few of them. A member lives while its
- *	heartbeat goes on. No answer is awaited and no vote is taken: the table
- *	only serves to divide limits that all VMs share, and each VM stays
- *	within its part if it takes the number of VMs too high. Thus a member
- *	that falls silent still counts for a while.
+ *	Each interval a VM pings one member, in turn, and the member answers.
+ *	A member that does not answer is suspected; the suspicion is told to
+ *	others, and the member counts itself up when it hears of it, which ends
+ *	it. A suspicion that nobody ends takes the member for gone. So what a
+ *	VM sends does not grow with the tier, and neither does the time until
+ *	a dead member is noticed.
+ *
+ *	Pings and answers carry rows about members: news first, each told a
+ *	number of times that grows with the logarithm of the tier. Both carry
+ *	a digest of the live members; where it differs from that of the other
+ *	side, the answer is filled with further rows, so that what got lost is
+ *	made up for. A VM that knows less than half of what the other knows
+ *	gets several answers.
+ *
+ *	No vote is taken: the table only serves to divide limits that all VMs
+ *	share and to choose among them, and each VM stays within its part if
+ *	it takes the number of VMs too high. Thus a member that is gone still
+ *	counts for a while.
  */
 
 #include "base/gb.h"
 
 #include <glib.h>
 
-/* Members in one datagram: with three told twice a second, 2 KB/s from a VM. */
-#define MEM_ROWS_MAX 9
+#define MEM_ROWS_MAX 40
 #define MEM_ADDRESS_MAX 48
 
+/* Bytes of the rows of one datagram, which is not to be fragmented. */
+#define MEM_ROWS_BYTES_MAX 1280
+
+enum mem_state { MEM_LIVE, MEM_SUSPECT, MEM_GONE };
+
 /* What a datagram says of one member. */
 struct mem_row {
 	char address[MEM_ADDRESS_MAX]; /* "ADDRESS:PORT" for datagrams */
 	uint32_t address_len;
 	uint64_t incarnation; /* start of the process, in ms of wall time */
-	uint64_t beat;
+	uint32_t beat; /* counted up by the member itself */
+	enum mem_state state;
 };
 
+enum mem_kind { MEM_PING, MEM_ANSWER };
+
 struct mem_message {
+	enum mem_kind kind;
+	uint32_t live; /* members that the sender takes for live, with itself */
+	uint64_t digest; /* of those */
 	struct mem_row rows[MEM_ROWS_MAX]; /* the sender is the first */
 	uint32_t len;
 };
 
+struct mem_ops {
+	void (*send)(void *ctx, struct gb_str address,
+		     const struct mem_message *message);
+};
+
 struct mem_settings {
 	struct gb_str address; /* of this VM */
 	uint64_t incarnation;
-	gb_time silent; /* after which a member is no longer told to others */
-	gb_time counted; /* after which a silent member no longer counts */
+	gb_time interval; /* of mem_beat() */
+	gb_time answer; /* after which a ping counts as unanswered */
+	gb_time suspicion; /* after which a suspected member is gone */
+	gb_time counted; /* for which a member that is gone still counts */
 	gb_time settle; /* after the start, until the number is certain */
-	uint32_t fanout; /* members told in each interval */
 };
 
 struct mem_table;
 
-struct mem_table *mem_new(const struct mem_settings *settings, gb_time now,
+struct mem_table *mem_new(const struct mem_settings *settings,
+			  const struct mem_ops *ops, void *ctx, gb_time now,
 			  struct gb_rng *rng);
 void mem_free(struct mem_table *table);
 
-/* An address to tell, whether or not a VM lives there. */
+/* An address to ping, whether or not a VM lives there. */
 void mem_add_seed(struct mem_table *table, struct gb_str address);
 
-/* Counts the own heartbeat up and fills the message to send. */
-void mem_beat(struct mem_table *table, gb_time now,
-	      struct mem_message *message);
+/* Judges the last pings and sends the next ones. */
+void mem_beat(struct mem_table *table, gb_time now);
 
-/* Calls send for each address that should get the message now. */
-void mem_targets(struct mem_table *table, gb_time now,
-		 void (*send)(void *ctx, struct gb_str address), void *ctx);
+/* Takes what a member sent and answers its ping. */
 void mem_take(struct mem_table *table, gb_time now,
 	      const struct mem_message *message);
 
 /* Members that count, this VM included; at least the number of seeds. */
 uint32_t mem_count(const struct mem_table *table, gb_time now);
 
-/* Members whose heartbeat goes on, this VM included. */
-uint32_t mem_live(const struct mem_table *table, gb_time now);
+/* Members that are not gone, this VM included. */
+uint32_t mem_live(const struct mem_table *table);
 bool mem_settled(const struct mem_table *table, gb_time now);
 
 /*
- * A random live member among the first ranks for a key, without this VM;
- * false if there is none. The address is valid until the next message.
+ * A random live member among the first ranks for a key, without this VM; with
+ * 0 ranks among all. False if there is none. The address is valid until the
+ * next message.
  */
-bool mem_pick(const struct mem_table *table, gb_time now, uint64_t key,
-	      uint32_t ranks, struct gb_str *address);
+#define MEM_RANKS_MAX 8
+bool mem_pick(const struct mem_table *table, uint64_t key, uint32_t ranks,
+	      struct gb_str *address);
+
+/* A random seed; false if there is none. */
+bool mem_pick_seed(const struct mem_table *table, struct gb_str *address);
 
 /* Rank of this VM by rendezvous hashing among the live ones; 0 is first. */
-uint32_t mem_rank(const struct mem_table *table, gb_time now, uint64_t key);
+uint32_t mem_rank(const struct mem_table *table, uint64_t key);
 
 #endif
--- a/packages/member/tests/member-test.c
+++ b/packages/member/tests/member-test.c
@@ -2,54 +2,89 @@
 #include "script/scr.h"
 #include "wire/wire-member.h"
 
-#define VMS_MAX 64
+#define VMS_MAX 512
 
 /* VMs that exchange datagrams on a virtual clock; any can be cut off. */
 struct ctx {
 	gb_time now;
 	struct gb_rng rng;
-	struct mem_table *table[VMS_MAX];
-	struct gb_str address[VMS_MAX];
-	bool cut[VMS_MAX];
+	struct vm *vm[VMS_MAX];
 	uint32_t len;
+	GHashTable *by_address; /* address to struct vm */
 	uint64_t bytes;
+	gb_time bytes_since;
 };
 
-struct sending {
+struct vm {
 	struct ctx *ctx;
-	struct gb_str bytes;
+	struct mem_table *table;
+	struct gb_str address;
+	bool cut; /* nothing arrives here or leaves */
+	bool deaf; /* nothing arrives here */
+	bool paused;
 };
 
 static void *open_ctx(void)
 {
-	return g_new0(struct ctx, 1);
+	struct ctx *ctx = g_new0(struct ctx, 1);
+
+	ctx->now = GB_SEC;
+	ctx->rng.state = 5;
+	ctx->by_address = g_hash_table_new(gb_str_key_hash, gb_str_key_equal);
+	return ctx;
 }
 
 static void close_ctx(void *data)
 {
 	struct ctx *ctx = data;
 
+	g_hash_table_destroy(ctx->by_address);
 	for (uint32_t i = 0; i < ctx->len; i++) {
-		mem_free(ctx->table[i]);
-		gb_str_free(&ctx->address[i]);
+		mem_free(ctx->vm[i]->table);
+		gb_str_free(&ctx->vm[i]->address);
+		g_free(ctx->vm[i]);
 	}
 	g_free(ctx);
 }
 
-static void start(struct ctx *ctx, uint32_t i)
+/* Delivers at once, since a datagram takes little of an interval. */
+static void on_send(void *data, struct gb_str address,
+		    const struct mem_message *message)
 {
+	struct vm *from = data, *to;
+	struct ctx *ctx = from->ctx;
+	struct gb_buf bytes = GB_BUF_INIT;
+	struct mem_message copy;
+
+	wire_member_encode(message, &bytes);
+	g_assert(bytes.len > 0);
+	ctx->bytes += bytes.len;
+	to = g_hash_table_lookup(ctx->by_address, &address);
+	if (to && !from->cut && !to->cut && !to->deaf && !to->paused) {
+		g_assert(!wire_member_decode(gb_buf_str(&bytes), &copy));
+		mem_take(to->table, ctx->now, &copy);
+	}
+	gb_buf_free(&bytes);
+}
+
+static const struct mem_ops ops = { .send = on_send };
+
+static void start(struct vm *vm, int64_t clock_ms)
+{
+	struct ctx *ctx = vm->ctx;
 	const struct mem_settings settings = {
-		.address = ctx->address[i],
-		.incarnation = 1000 + ctx->now / GB_MSEC,
-		.silent = 8 * GB_SEC,
-		.counted = 20 * GB_SEC,
+		.address = vm->address,
+		.incarnation = clock_ms,
+		.interval = 500 * GB_MSEC,
+		.answer = 1 * GB_SEC,
+		.suspicion = 5 * GB_SEC,
+		.counted = 12 * GB_SEC,
 		.settle = 1500 * GB_MSEC,
-		.fanout = 3,
 	};
 
-	ctx->table[i] = mem_new(&settings, ctx->now, &ctx->rng);
+	vm->table = mem_new(&settings, &ops, vm, ctx->now, &ctx->rng);
 	for (uint32_t seed = 0; seed < MIN(ctx->len, 3); seed++)
-		mem_add_seed(ctx->table[i], ctx->address[seed]);
+		mem_add_seed(vm->table, ctx->vm[seed]->address);
 }
 
 static void cmd_vms(void *data, const struct scr_args *args, struct gb_buf *out)
@@ -61,41 +96,16 @@
 	for (uint32_t i = 0; i < ctx->len; i++) {
 		struct gb_buf address = GB_BUF_INIT;
 
-		gb_buf_addf(&address, "10.0.0.%u:7380", i + 1);
-		ctx->address[i] = gb_str_dup(gb_buf_str(&address));
+		ctx->vm[i] = g_new0(struct vm, 1);
+		ctx->vm[i]->ctx = ctx;
+		gb_buf_addf(&address, "10.0.%u.%u:7380", i / 250, i % 250 + 1);
+		ctx->vm[i]->address = gb_str_dup(gb_buf_str(&address));
+		g_hash_table_insert(ctx->by_address, &ctx->vm[i]->address,
+				    ctx->vm[i]);
 		gb_buf_free(&address);
 	}
 	for (uint32_t i = 0; i < ctx->len; i++)
-		start(ctx, i);
-}
-
-static void deliver(void *data, struct gb_str address)
-{
-	struct sending *sending = data;
-	struct ctx *ctx = sending->ctx;
-	struct mem_message message;
-
-	ctx->bytes += sending->bytes.len;
-	for (uint32_t i = 0; i < ctx->len; i++) {
-		if (!gb_str_eq(ctx->address[i], address) || ctx->cut[i])
-			continue;
-		g_assert(!wire_member_decode(sending->bytes, &message));
-		mem_take(ctx->table[i], ctx->now, &message);
-	}
-}
-
-static void beat(struct ctx *ctx, uint32_t i)
-{
-	struct mem_message message;
-	struct gb_buf bytes = GB_BUF_INIT;
-	struct sending sending = { .ctx = ctx };
-
-	mem_beat(ctx->table[i], ctx->now, &message);
-	wire_member_encode(&message, &bytes);
-	sending.bytes = gb_buf_str(&bytes);
-	if (!ctx->cut[i])
-		mem_targets(ctx->table[i], ctx->now, deliver, &sending);
-	gb_buf_free(&bytes);
+		start(ctx->vm[i], ctx->now / GB_MSEC);
 }
 
 /* Lets all VMs beat each half second for a time. */
@@ -107,29 +117,54 @@
 	(void)out;
 	while (ctx->now < until) {
 		for (uint32_t i = 0; i < ctx->len; i++)
-			beat(ctx, i);
+			if (!ctx->vm[i]->paused)
+				mem_beat(ctx->vm[i]->table, ctx->now);
 		ctx->now += 500 * GB_MSEC;
 	}
 }
 
+static struct vm *vm_of(struct ctx *ctx, const struct scr_args *args)
+{
+	return ctx->vm[scr_int(args, GB_STR("vm"), 0)];
+}
+
+/* cut vm= to= on=: one VM, or all from the first one to another */
 static void cmd_cut(void *data, const struct scr_args *args, struct gb_buf *out)
 {
 	struct ctx *ctx = data;
+	int64_t first = scr_int(args, GB_STR("vm"), 0);
+	int64_t last = scr_int(args, GB_STR("to"), first);
 
 	(void)out;
-	ctx->cut[scr_int(args, GB_STR("vm"), 0)] =
-		scr_int(args, GB_STR("on"), 1);
+	for (int64_t i = first; i <= last; i++)
+		ctx->vm[i]->cut = scr_int(args, GB_STR("on"), 1);
+}
+
+static void cmd_deaf(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	(void)out;
+	vm_of(data, args)->deaf = scr_int(args, GB_STR("on"), 1);
+}
+
+static void cmd_pause(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	(void)out;
+	vm_of(data, args)->paused = scr_int(args, GB_STR("on"), 1);
 }
 
+/* restart vm= clock=: with its wall clock so many seconds ahead */
 static void cmd_restart(void *data, const struct scr_args *args,
 			struct gb_buf *out)
 {
 	struct ctx *ctx = data;
-	uint32_t i = scr_int(args, GB_STR("vm"), 0);
+	struct vm *vm = vm_of(ctx, args);
 
 	(void)out;
-	mem_free(ctx->table[i]);
-	start(ctx, i);
+	mem_free(vm->table);
+	start(vm,
+	      ctx->now / GB_MSEC + scr_int(args, GB_STR("clock"), 0) * 1000);
 }
 
 /* The least and the greatest number over the VMs that are not cut off. */
@@ -141,10 +176,11 @@
 	int64_t only = scr_int(args, GB_STR("vm"), -1);
 
 	for (uint32_t i = 0; i < ctx->len; i++) {
-		uint32_t number[2] = { mem_live(ctx->table[i], ctx->now),
-				       mem_count(ctx->table[i], ctx->now) };
+		const struct vm *vm = ctx->vm[i];
+		uint32_t number[2] = { mem_live(vm->table),
+				       mem_count(vm->table, ctx->now) };
 
-		if (only >= 0 ? only != i : ctx->cut[i])
+		if (only >= 0 ? only != i : vm->cut || vm->paused)
 			continue;
 		for (int k = 0; k < 2; k++) {
 			least[k] = MIN(least[k], number[k]);
@@ -166,8 +202,8 @@
 		uint32_t first = 0;
 
 		for (uint32_t i = 0; i < ctx->len; i++)
-			first += !ctx->cut[i] &&
-				 !mem_rank(ctx->table[i], ctx->now, key);
+			first += !ctx->vm[i]->cut &&
+				 !mem_rank(ctx->vm[i]->table, key);
 		bad += first != 1;
 	}
 	gb_buf_addf(out, "%lld keys without exactly one first VM\n",
@@ -178,11 +214,16 @@
 		      struct gb_buf *out)
 {
 	struct ctx *ctx = data;
-	double rate = (double)ctx->bytes / ctx->len / ctx->now * GB_SEC;
+	double passed = (double)(ctx->now - ctx->bytes_since) / GB_SEC;
+	double rate = (double)ctx->bytes / ctx->len / passed;
 	int64_t most = scr_int(args, GB_STR("most"), 2048);
 
 	gb_buf_addf(out, "%s %lld bytes/s from each VM\n",
 		    rate <= most ? "at most" : "MORE THAN", (long long)most);
+	if (g_getenv("MEM_BYTES"))
+		g_printerr("%.0f bytes/s\n", rate);
+	ctx->bytes = 0;
+	ctx->bytes_since = ctx->now;
 }
 
 int main(int argc, char **argv)
@@ -191,6 +232,8 @@
 		{ GB_STR_INIT("vms"), cmd_vms },
 		{ GB_STR_INIT("run"), cmd_run },
 		{ GB_STR_INIT("cut"), cmd_cut },
+		{ GB_STR_INIT("deaf"), cmd_deaf },
+		{ GB_STR_INIT("pause"), cmd_pause },
 		{ GB_STR_INIT("restart"), cmd_restart },
 		{ GB_STR_INIT("show"), cmd_show },
 		{ GB_STR_INIT("ranks"), cmd_ranks },
--- a/packages/wire/wire-member.c
+++ b/packages/wire/wire-member.c
@@ -2,24 +2,36 @@
 #include "wire/wire-row.h"
 
 /* Tells these datagrams from others on the port. */
-#define MAGIC 0x67626d31
+#define MAGIC 0x67626d32
+
+/* The state is in the lowest bits of the word of the heartbeat. */
+#define STATE_BITS 2
 
 static bool_t xdr_row(XDR *xdrs, struct mem_row *row)
 {
+	uint32_t word = row->beat << STATE_BITS | row->state;
 	char *address = row->address;
 
-	return xdr_bytes(xdrs, &address, &row->address_len, MEM_ADDRESS_MAX) &&
-	       wire_xdr_u64(xdrs, &row->incarnation) &&
-	       wire_xdr_u64(xdrs, &row->beat);
+	if (!xdr_bytes(xdrs, &address, &row->address_len, MEM_ADDRESS_MAX) ||
+	    !wire_xdr_u64(xdrs, &row->incarnation) ||
+	    !wire_xdr_u32(xdrs, &word))
+		return FALSE;
+	row->beat = word >> STATE_BITS;
+	row->state = word & ((1 << STATE_BITS) - 1);
+	return row->state <= MEM_GONE;
 }
 
 static bool_t xdr_message(XDR *xdrs, struct mem_message *message)
 {
-	uint32_t magic = MAGIC;
+	uint32_t magic = MAGIC, kind = message->kind;
 
 	if (!wire_xdr_u32(xdrs, &magic) || magic != MAGIC ||
+	    !wire_xdr_u32(xdrs, &kind) || kind > MEM_ANSWER ||
+	    !wire_xdr_u32(xdrs, &message->live) ||
+	    !wire_xdr_u64(xdrs, &message->digest) ||
 	    !wire_xdr_u32(xdrs, &message->len) || message->len > MEM_ROWS_MAX)
 		return FALSE;
+	message->kind = kind;
 	for (uint32_t i = 0; i < message->len; i++)
 		if (!xdr_row(xdrs, &message->rows[i]))
 			return FALSE;
