front: VMs that start learn at once who has the stored objects

Cause: after a loss of power during an outage of the store each VM waited on its own for the end of a call that the store never answers, up to 2.5 s, also when another VM had the objects by then.

Change: a ping says whether its sender has the objects; a VM that lacks them leaves its call to the store and asks that member. While a VM serves nobody, every other try to the store is short. In a small tier a VM asks the store itself 0.3 s after its start.

Test: emulator script 'power', all VMs killed and started while the store is silent, 1.5 s from its return to the next load.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -16,9 +16,10 @@
 #define BACKOFF_PEER (50 * GB_MSEC)
 
 /*
- * A store that is down may take a request and never answer it, so the first
- * tries are short; a slow store gets longer with each failure. A VM that
- * serves must notice a change soon after the store is back.
+ * A store that is down may take a request and never answer it, so tries are
+ * short; a slow store gets longer with each failure. A VM that serves nobody
+ * yet gives every other try to the store just a short time, so that it notices
+ * soon when the store is back.
  */
 #define ANSWER_TIMEOUT_MIN (600 * GB_MSEC)
 #define ANSWER_TIMEOUT_STEP (300 * GB_MSEC)
@@ -112,6 +113,9 @@
 
 	if (follower->step == DIR_WATCH && follower->wait)
 		return follower->wait + WATCH_MARGIN;
-	return MIN(answer, follower->synced ? ANSWER_TIMEOUT_SYNCED
-					    : ANSWER_TIMEOUT_MAX);
+	if (follower->synced)
+		return MIN(answer, ANSWER_TIMEOUT_SYNCED);
+	if (follower->failures / 2 % 2 == 0)
+		return ANSWER_TIMEOUT_MIN;
+	return MIN(answer, ANSWER_TIMEOUT_MAX);
 }
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -318,6 +318,29 @@
 	ht_call_start(&follow->call, source, &call_ops);
 }
 
+/* Leaves a store that is silent for a VM that has the objects. */
+static void ask_member(struct fr_follow *follow, struct fr_peer *peer)
+{
+	if (follow->follower.synced || !peer || peer->avoid_until > ht_now() ||
+	    (follow->running && !follow->at_store))
+		return;
+	if (follow->running) {
+		ht_call_cancel(&follow->call);
+		gb_buf_free(&follow->call.body);
+		follow->running = false;
+	}
+	follow->hint = peer;
+	arm(follow, ht_now());
+}
+
+void fr_directory_hint(struct fr *fr, struct gb_str member)
+{
+	if (fr_is_synced(fr) || !fr->settings.control.len)
+		return;
+	for (int kind = 0; kind < FR_KINDS; kind++)
+		ask_member(&fr->follows[kind], fr_find_peer(fr, member));
+}
+
 int fr_directory_start(struct fr *fr)
 {
 	struct sockaddr_storage addr;
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -32,6 +32,7 @@
 	GQueue polls; /* of struct fr_poll: VMs that wait for changes */
 	bool at_store; /* the store is asked, not another VM */
 	struct fr_peer *peer; /* the VM that is asked */
+	struct fr_peer *hint; /* the VM to ask next, or NULL */
 	gb_time asked_at;
 	gb_time answered_at;
 	bool silent; /* the VM that was asked last did not answer in time */
@@ -53,6 +54,7 @@
 	uv_signal_t signals[3];
 	uv_timer_t tick;
 	enum fr_phase phase;
+	gb_time started;
 	gb_time stop_at; /* when SIGTERM came */
 	bool was_ready;
 	struct gb_rng rng;
@@ -100,9 +102,14 @@
 
 /* The store. */
 int fr_directory_start(struct fr *fr);
+
+/* A member has what this VM may still lack, and is asked at once. */
+void fr_directory_hint(struct fr *fr, struct gb_str member);
 bool fr_is_synced(const struct fr *fr);
 bool fr_is_behind(const struct fr *fr);
 
+struct fr_peer *fr_find_peer(struct fr *fr, struct gb_str member);
+
 /* Whom to follow: the store, or a VM that follows it. */
 struct ht_target *fr_choose_source(struct fr_follow *follow, gb_time now);
 
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -229,6 +229,7 @@
 	if (getrandom(&random, sizeof(random), 0) != sizeof(random))
 		return -1;
 	fr->rng.state = random;
+	fr->started = ht_now();
 	init_signals(fr);
 	ev_log_init(&fr->log, 1, fr->settings.name, fr->settings.log_severity,
 		    fr->settings.log_rate);
--- a/packages/front/fr-member.c
+++ b/packages/front/fr-member.c
@@ -64,6 +64,10 @@
 	met_add(&fr->metrics, MET_PEER_BYTES, len);
 	mem_take(fr->members, ht_now(), &message);
 	fr_update_limits(fr);
+	if (message.synced && message.len)
+		fr_directory_hint(
+			fr, (struct gb_str){ message.rows[0].address,
+					     message.rows[0].address_len });
 }
 
 static void on_send(void *ctx, struct gb_str address,
@@ -88,6 +92,7 @@
 
 void fr_member_tick(struct fr *fr)
 {
+	mem_set_synced(fr->members, fr_is_synced(fr));
 	mem_beat(fr->members, ht_now());
 	met_set(&fr->metrics, MET_MEMBERS_LIVE, mem_live(fr->members));
 }
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -9,6 +9,9 @@
 #define READERS 3
 #define READERS_KEY 0x726561646572ull
 
+/* After the start, until others that started as well are known. */
+#define LOOK_AROUND (300 * GB_MSEC)
+
 /* Connections to the store, and to a VM: one for each follower. */
 #define SOURCE_CONNS FR_KINDS
 
@@ -54,7 +57,7 @@
  */
 static bool is_reader(const struct fr *fr, gb_time now)
 {
-	if (!mem_settled(fr->members, now))
+	if (now - fr->started < LOOK_AROUND)
 		return fr_is_seed(fr) || !fr->settings.seeds.len;
 	return mem_live(fr->members) <= DIRECT_VMS ||
 	       mem_rank(fr->members, READERS_KEY) < READERS;
@@ -75,7 +78,7 @@
 	return gb_buf_str(out);
 }
 
-static struct fr_peer *find_peer(struct fr *fr, struct gb_str member)
+struct fr_peer *fr_find_peer(struct fr *fr, struct gb_str member)
 {
 	struct gb_buf text = GB_BUF_INIT;
 	struct gb_str address = control_address(fr, member, &text);
@@ -115,7 +118,7 @@
 			      &member) &&
 		    !mem_pick_seed(fr->members, &member))
 			return NULL;
-		peer = find_peer(fr, member);
+		peer = fr_find_peer(fr, member);
 		if (peer && peer->avoid_until <= now)
 			return peer;
 	}
@@ -155,12 +158,15 @@
 	struct fr_peer *peer = NULL;
 	gb_time wait = WAIT_RELAYED;
 
-	if (!prefers_store(follow, now))
+	if (follow->hint)
+		peer = follow->hint;
+	else if (!prefers_store(follow, now))
 		peer = choose_peer(fr, now);
 	/* With all readers away a VM that has not tried the store yet does. */
 	if (peer && peer->avoid_until > now && follow->follower.synced &&
 	    follow->follower.failures < STORE_EACH)
 		peer = NULL;
+	follow->hint = NULL;
 	follow->peer = peer;
 	follow->at_store = !peer;
 	if (follow->at_store && mem_live(fr->members) <= DIRECT_VMS)
--- a/packages/member/mem-internal.h
+++ b/packages/member/mem-internal.h
@@ -29,6 +29,7 @@
 	gb_time beaten_at; /* last mem_beat() */
 	uint64_t beats;
 	struct mem_row own;
+	bool synced;
 	GPtrArray *members; /* of struct mem_member, without this VM */
 	GHashTable *by_address; /* address to struct mem_member */
 	GPtrArray *seeds; /* of struct mem_row; only the address is used */
--- a/packages/member/mem-row.c
+++ b/packages/member/mem-row.c
@@ -111,6 +111,7 @@
 	message->kind = kind;
 	message->live = mem_live(table);
 	message->digest = mem_digest(table);
+	message->synced = table->synced;
 	message->rows[0] = table->own;
 	message->len = 1;
 	while ((news = next_news(table, message)) &&
--- a/packages/member/mem-table.c
+++ b/packages/member/mem-table.c
@@ -68,6 +68,11 @@
 	g_ptr_array_add(table->seeds, seed);
 }
 
+void mem_set_synced(struct mem_table *table, bool synced)
+{
+	table->synced = synced;
+}
+
 struct mem_member *mem_find(const struct mem_table *table,
 			    struct gb_str address)
 {
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -53,6 +53,7 @@
 	enum mem_kind kind;
 	uint32_t live; /* members that the sender takes for live, with itself */
 	uint64_t digest; /* of those */
+	bool synced; /* the sender has read the stored objects */
 	struct mem_row rows[MEM_ROWS_MAX]; /* the sender is the first */
 	uint32_t len;
 };
@@ -82,6 +83,9 @@
 /* An address to ping, whether or not a VM lives there. */
 void mem_add_seed(struct mem_table *table, struct gb_str address);
 
+/* What messages say of this VM from now on. */
+void mem_set_synced(struct mem_table *table, bool synced);
+
 /* Judges the last pings and sends the next ones. */
 void mem_beat(struct mem_table *table, gb_time now);
 
--- a/packages/wire/wire-member.c
+++ b/packages/wire/wire-member.c
@@ -24,14 +24,16 @@
 static bool_t xdr_message(XDR *xdrs, struct mem_message *message)
 {
 	uint32_t magic = MAGIC, kind = message->kind;
+	bool_t synced = message->synced;
 
 	if (!wire_xdr_u32(xdrs, &magic) || magic != MAGIC ||
 	    !wire_xdr_u32(xdrs, &kind) || kind > MEM_ANSWER ||
 	    !wire_xdr_u32(xdrs, &message->live) ||
-	    !wire_xdr_u64(xdrs, &message->digest) ||
+	    !wire_xdr_u64(xdrs, &message->digest) || !xdr_bool(xdrs, &synced) ||
 	    !wire_xdr_u32(xdrs, &message->len) || message->len > MEM_ROWS_MAX)
 		return FALSE;
 	message->kind = kind;
+	message->synced = synced;
 	for (uint32_t i = 0; i < message->len; i++)
 		if (!xdr_row(xdrs, &message->rows[i]))
 			return FALSE;
