--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -18,9 +18,10 @@
 /*
  * A store that is down may take a request and never answer it, so tries are
  * short; a slow store gets longer with each failure. A VM that serves nobody
- * yet gives every other try to the store just a short time, so that it notices
- * soon when the store is back.
+ * yet gives most tries a short time, so that it notices soon when the store is
+ * back; every second failure is that of another VM.
  */
+#define TRIES_PER_LONG 3
 #define ANSWER_TIMEOUT_MIN (600 * GB_MSEC)
 #define ANSWER_TIMEOUT_STEP (300 * GB_MSEC)
 #define ANSWER_TIMEOUT_SYNCED (1200 * GB_MSEC)
@@ -115,7 +116,7 @@
 		return follower->wait + WATCH_MARGIN;
 	if (follower->synced)
 		return MIN(answer, ANSWER_TIMEOUT_SYNCED);
-	if (follower->failures / 2 % 2 == 0)
+	if (follower->failures / 2 % TRIES_PER_LONG != TRIES_PER_LONG - 1)
 		return ANSWER_TIMEOUT_MIN;
 	return MIN(answer, ANSWER_TIMEOUT_MAX);
 }
