gentianctl: report, a run over time from log files

The reading of log files is shared with 'log'.

Found with it: after an outage that ended with a dropped history no line said that the store was back; it does now.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,9 @@
 CFLAGS ?= -O2 -g
 override CFLAGS += -std=gnu11 $(WARN) -MMD -MP -Ipackages -Itests -I. \
 	-DH2O_USE_LIBUV=1 $(SANITIZE) $(shell pkg-config --cflags $(PKGS))
+# Only the command line draws.
+CTL_PKGS = cairo
+CTL_LDLIBS = $(shell pkg-config --libs $(CTL_PKGS))
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lh2o -lssl -lcrypto -lm
 
 DAEMON_SRC = $(wildcard packages/daemon/*.c)
@@ -62,7 +65,11 @@
 
 $(BUILD)/gentianctl: $(call obj,$(CTL_SRC)) $(LIB)
 	@echo "  LD $@"
-	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS)
+	@$(CC) $(SANITIZE) -o $@ $^ $(LDLIBS) $(CTL_LDLIBS)
+
+$(BUILD)/obj/packages/ctl/%.o: override CFLAGS += \
+	$(shell pkg-config --cflags $(CTL_PKGS))
+$(BUILD)/units/packages/ctl/%: LDLIBS += $(CTL_LDLIBS)
 
 $(BUILD)/scenario: $(call obj,$(SCENARIO_SRC)) \
 		$(BUILD)/obj/tests/script/scr.o $(LIB)
--- a/packages/ctl/ctl-table.c
+++ b/packages/ctl/ctl-table.c
@@ -46,6 +46,15 @@
 	  .words_max = CTL_LOGS_MAX,
 	  .options = CTL_OPT_FILTER,
 	  .run = ctl_log },
+	{ .name = GB_STR_INIT("report"),
+	  .usage = GB_STR_INIT("FILE..."),
+	  .sentence = GB_STR_INIT("Show answers, times and faults over time "
+				  "from log files; --output draws an SVG "
+				  "or a PNG."),
+	  .words_min = 1,
+	  .words_max = CTL_LOGS_MAX,
+	  .options = CTL_OPT_OUTPUT | CTL_OPT_FILTER,
+	  .run = ctl_report },
 	{ .name = GB_STR_INIT("check"),
 	  .usage = GB_STR_INIT("FILE.ini"),
 	  .sentence = GB_STR_INIT("Check a settings file of gentianbend."),
--- a/packages/ctl/ctl.h
+++ b/packages/ctl/ctl.h
@@ -64,6 +64,7 @@
 int ctl_metrics(const struct ctl_line *line);
 int ctl_check(const struct ctl_line *line);
 int ctl_log(const struct ctl_line *line);
+int ctl_report(const struct ctl_line *line);
 int ctl_state(const struct ctl_line *line);
 int ctl_events_catalogue(const struct ctl_line *line);
 int ctl_settings_manual(const struct ctl_line *line);
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -248,6 +248,7 @@
 			take_changes(follow);
 		fr_mirror_changed(follow);
 	} else if (answered && follow->status == 410) {
+		tell_back(follow, since);
 		dir_history_lost(&follow->follower, ht_now());
 	} else {
 		fail(follow);
