front: readers in each data centre, and sums that tell what differs

Cause: above some 100 VMs the followers' reading crossed data centres, once for each VM. In a tier that had just started, an answer was filled with any rows, so the last members became known late. VMs that started together in an outage of the store all had their long try at the same time, and a VM that was asked before it had the objects was then avoided for 1.5 s.

Change: above 64 VMs each data centre has two readers of its own. The digest of the live members is 16 sums, and an answer is filled with rows of those that differ. Long tries lie apart; a VM that becomes synced pings eight members at once, and those ask it whatever they know of it.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -19,20 +19,21 @@
  * A store that is down may take a request and never answer it, so tries are
  * short; a slow store gets longer with each failure. A VM that serves nobody
  * yet gives most tries a short time, so that it notices soon when the store is
- * back; every second failure is that of another VM.
+ * back; every second failure is that of another VM. VMs that start together
+ * have their long tries at different times, and the first one tells the others.
  */
-#define TRIES_PER_LONG 3
 #define ANSWER_TIMEOUT_MIN (600 * GB_MSEC)
 #define ANSWER_TIMEOUT_STEP (300 * GB_MSEC)
+#define ANSWER_TIMEOUT_STEP_UNSYNCED (150 * GB_MSEC)
 #define ANSWER_TIMEOUT_SYNCED (1200 * GB_MSEC)
 #define ANSWER_TIMEOUT_MAX (2500 * GB_MSEC)
 
 /* Above the time that the store may wait; a slow store answers later. */
 #define WATCH_MARGIN (800 * GB_MSEC)
 
-void dir_init(struct dir_follower *follower)
+void dir_init(struct dir_follower *follower, uint32_t phase)
 {
-	*follower = (struct dir_follower){ .step = DIR_LIST };
+	*follower = (struct dir_follower){ .step = DIR_LIST, .phase = phase };
 }
 
 void dir_free(struct dir_follower *follower)
@@ -109,14 +110,15 @@
 
 gb_time dir_timeout(const struct dir_follower *follower)
 {
-	gb_time answer =
-		ANSWER_TIMEOUT_MIN + follower->failures * ANSWER_TIMEOUT_STEP;
+	uint32_t tries = follower->failures / 2 + follower->phase;
+	gb_time longer = follower->failures * ANSWER_TIMEOUT_STEP;
 
 	if (follower->step == DIR_WATCH && follower->wait)
 		return follower->wait + WATCH_MARGIN;
 	if (follower->synced)
-		return MIN(answer, ANSWER_TIMEOUT_SYNCED);
-	if (follower->failures / 2 % TRIES_PER_LONG != TRIES_PER_LONG - 1)
+		return MIN(ANSWER_TIMEOUT_MIN + longer, ANSWER_TIMEOUT_SYNCED);
+	if (tries % DIR_PHASES != DIR_PHASES - 1)
 		return ANSWER_TIMEOUT_MIN;
-	return MIN(answer, ANSWER_TIMEOUT_MAX);
+	longer = follower->failures * ANSWER_TIMEOUT_STEP_UNSYNCED;
+	return MIN(ANSWER_TIMEOUT_MIN + longer, ANSWER_TIMEOUT_MAX);
 }
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -18,6 +18,9 @@
 
 #include "base/gb.h"
 
+/* Of VMs that start together, so many have their long tries apart. */
+#define DIR_PHASES 3
+
 enum dir_step {
 	DIR_LIST, /* read the page after a name; the first page for "" */
 	DIR_WATCH /* wait for changes after a revision */
@@ -32,9 +35,10 @@
 	gb_time failing_since; /* 0 while the store answers */
 	bool synced; /* all objects were read once */
 	gb_time wait; /* for changes, at whoever is asked */
+	uint32_t phase; /* of the long tries among the short ones */
 };
 
-void dir_init(struct dir_follower *follower);
+void dir_init(struct dir_follower *follower, uint32_t phase);
 void dir_free(struct dir_follower *follower);
 
 /*
--- a/packages/directory/tests/directory-test.c
+++ b/packages/directory/tests/directory-test.c
@@ -9,7 +9,7 @@
 {
 	struct ctx *ctx = g_new0(struct ctx, 1);
 
-	dir_init(&ctx->follower);
+	dir_init(&ctx->follower, 0);
 	return ctx;
 }
 
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -254,6 +254,7 @@
 		fail(follow);
 	}
 	gb_buf_free(&follow->call.body);
+	mem_set_synced(follow->fr->members, fr_is_synced(follow->fr));
 	arm(follow, follow->follower.due);
 }
 
@@ -322,15 +323,18 @@
 /* Leaves a store that is silent for a VM that has the objects. */
 static void ask_member(struct fr_follow *follow, struct fr_peer *peer)
 {
-	if (follow->follower.synced || !peer || peer->avoid_until > ht_now() ||
-	    (follow->running && !follow->at_store))
+	if (follow->follower.synced || !peer)
+		return;
+	/* It may have been asked before it had them. */
+	peer->avoid_until = 0;
+	follow->hint = peer;
+	if (follow->running && !follow->at_store)
 		return;
 	if (follow->running) {
 		ht_call_cancel(&follow->call);
 		gb_buf_free(&follow->call.body);
 		follow->running = false;
 	}
-	follow->hint = peer;
 	arm(follow, ht_now());
 }
 
@@ -344,6 +348,7 @@
 
 int fr_directory_start(struct fr *fr)
 {
+	uint32_t phase = gb_rng_below(&fr->rng, DIR_PHASES);
 	struct sockaddr_storage addr;
 
 	if (ht_address(fr->settings.store, &addr))
@@ -355,7 +360,7 @@
 
 		follow->fr = fr;
 		follow->kind = kind;
-		dir_init(&follow->follower);
+		dir_init(&follow->follower, phase);
 		follow->mirror = mir_new();
 		g_queue_init(&follow->polls);
 		uv_timer_init(fr->loop, &follow->timer);
--- a/packages/front/fr-member.c
+++ b/packages/front/fr-member.c
@@ -92,7 +92,6 @@
 
 void fr_member_tick(struct fr *fr)
 {
-	mem_set_synced(fr->members, fr_is_synced(fr));
 	mem_beat(fr->members, ht_now());
 	met_set(&fr->metrics, MET_MEMBERS_LIVE, mem_live(fr->members));
 }
@@ -115,6 +114,7 @@
 	struct gb_buf own = GB_BUF_INIT;
 	struct sockaddr_storage addr;
 	struct mem_settings settings = {
+		.dc = fr->settings.dc,
 		.incarnation = g_get_real_time() / 1000,
 		.interval = INTERVAL,
 		.answer = ANSWER_TIME,
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -7,6 +7,13 @@
  */
 #define DIRECT_VMS 8
 #define READERS 3
+
+/*
+ * In a tier of more VMs than this, each data centre has readers of its own,
+ * since what the others read would cross data centres once for each VM.
+ */
+#define SHARED_READERS_VMS 64
+#define READERS_PER_DC 2
 #define READERS_KEY 0x726561646572ull
 
 /* After the start, until others that started as well are known. */
@@ -51,16 +58,32 @@
 /* A VM that runs answers sooner, or refuses the connection. */
 #define SILENT_AFTER (150 * GB_MSEC)
 
+/* Among whom readers are chosen, and how many. */
+struct readers {
+	enum mem_scope scope;
+	uint32_t ranks;
+};
+
+static struct readers readers_of(const struct fr *fr)
+{
+	if (mem_live(fr->members) > SHARED_READERS_VMS)
+		return (struct readers){ MEM_SAME_DC, READERS_PER_DC };
+	return (struct readers){ MEM_ALL, READERS };
+}
+
 /*
  * A VM that starts does not know the others yet; all of them may start at
  * once, so just the seeds ask the store, and the others the seeds.
  */
 static bool is_reader(const struct fr *fr, gb_time now)
 {
+	struct readers readers = readers_of(fr);
+
 	if (now - fr->started < LOOK_AROUND)
 		return fr_is_seed(fr) || !fr->settings.seeds.len;
 	return mem_live(fr->members) <= DIRECT_VMS ||
-	       mem_rank(fr->members, READERS_KEY) < READERS;
+	       mem_rank(fr->members, readers.scope, READERS_KEY) <
+		       readers.ranks;
 }
 
 /* The control address of a VM has the same port on all of them. */
@@ -108,14 +131,15 @@
 static struct fr_peer *choose_peer(struct fr *fr, gb_time now)
 {
 	bool few = mem_live(fr->members) <= DIRECT_VMS;
+	struct readers readers = readers_of(fr);
 	struct fr_peer *peer = NULL;
 	struct gb_str member;
 
 	if (!fr->settings.control.len)
 		return NULL;
 	for (int i = 0; i < DRAWS; i++) {
-		if (!mem_pick(fr->members, READERS_KEY, few ? 0 : READERS,
-			      &member) &&
+		if (!mem_pick(fr->members, readers.scope, READERS_KEY,
+			      few ? 0 : readers.ranks, &member) &&
 		    !mem_pick_seed(fr->members, &member))
 			return NULL;
 		peer = fr_find_peer(fr, member);
--- a/packages/front/fr-upstream.c
+++ b/packages/front/fr-upstream.c
@@ -150,7 +150,7 @@
 {
 	const struct fr *fr = ctx;
 
-	return mem_rank(fr->members, key);
+	return mem_rank(fr->members, MEM_ALL, key);
 }
 
 const struct fl_share fr_share = { .vms = share_vms, .rank = share_rank };
--- a/packages/member/mem-internal.h
+++ b/packages/member/mem-internal.h
@@ -49,7 +49,11 @@
 
 /* Makes a member's row news. */
 void mem_tell(struct mem_table *table, struct mem_member *member);
-uint64_t mem_digest(const struct mem_table *table);
+void mem_digest(const struct mem_table *table, struct mem_digest *digest);
+
+/* The bucket of a member in a digest, and a set of those that differ. */
+uint32_t mem_bucket(const struct mem_row *row);
+uint32_t mem_differing(const struct mem_digest *a, const struct mem_digest *b);
 
 /* Merges the rows of a message. */
 void mem_merge(struct mem_table *table, gb_time now,
@@ -59,8 +63,11 @@
 void mem_begin(struct mem_table *table, enum mem_kind kind,
 	       struct mem_message *message);
 
-/* Adds rows of members from a place on; returns where it stopped. */
-guint mem_fill(struct mem_table *table, struct mem_message *message,
-	       guint from);
+/*
+ * Adds rows of members in a set of buckets, from a place on; returns where it
+ * stopped.
+ */
+guint mem_fill(struct mem_table *table, struct mem_message *message, guint from,
+	       uint32_t buckets);
 
 #endif
--- a/packages/member/mem-probe.c
+++ b/packages/member/mem-probe.c
@@ -9,6 +9,9 @@
 /* Members that are gone are forgotten later, so that a split tier heals. */
 #define GONE_FOR (600 * GB_SEC)
 
+/* Members that hear at once that this VM has become synced. */
+#define TOLD_AT_ONCE 8
+
 /* A VM that was paused knows nothing of the answers that it missed. */
 #define PAUSE_INTERVALS 3
 
@@ -67,6 +70,27 @@
 	}
 }
 
+void mem_set_synced(struct mem_table *table, bool synced)
+{
+	guint len = table->members->len;
+	guint from = len ? gb_rng_below(table->rng, len) : 0;
+	uint32_t told = 0;
+	bool was = table->synced;
+
+	table->synced = synced;
+	if (!synced || was)
+		return;
+	for (guint i = 0; i < len && told < TOLD_AT_ONCE; i++) {
+		const struct mem_member *member =
+			table->members->pdata[(from + i) % len];
+
+		if (member->row.state == MEM_GONE)
+			continue;
+		ping(table, mem_address(&member->row));
+		told++;
+	}
+}
+
 /* A seed that lives is a member like the others. */
 static void ping_seeds(struct mem_table *table)
 {
@@ -118,10 +142,12 @@
 {
 	struct gb_str address = mem_address(&message->rows[0]);
 	const struct mem_member *sender = mem_find(table, address);
-	bool differs = message->digest != mem_digest(table);
-	uint32_t answers = 1;
+	uint32_t answers = 1, buckets;
+	struct mem_digest own;
 	guint from = 0;
 
+	mem_digest(table, &own);
+	buckets = mem_differing(&own, &message->digest);
 	if (table->members->len)
 		from = gb_rng_below(table->rng, table->members->len);
 	if (message->live * 2 < mem_live(table))
@@ -132,8 +158,8 @@
 		mem_begin(table, MEM_ANSWER, &out);
 		if (!i)
 			add_sender(&out, sender);
-		if (differs)
-			from = mem_fill(table, &out, from);
+		if (buckets)
+			from = mem_fill(table, &out, from, buckets);
 		table->ops->send(table->ctx, address, &out);
 		if (out.len == 1 ||
 		    (uint32_t)(i + 1) * (out.len - 1) >= table->members->len)
--- a/packages/member/mem-row.c
+++ b/packages/member/mem-row.c
@@ -1,7 +1,7 @@
 #include "member/mem-internal.h"
 
 /* Bytes of a row besides its address, in XDR. */
-#define ROW_BYTES 24
+#define ROW_BYTES 28
 
 static bool is_newer(const struct mem_row *a, const struct mem_row *b)
 {
@@ -53,6 +53,7 @@
 		return;
 	member->row.incarnation = row->incarnation;
 	member->row.beat = row->beat;
+	member->row.dc = row->dc;
 	mem_set_state(table, member, row->state, now);
 }
 
@@ -110,7 +111,7 @@
 
 	message->kind = kind;
 	message->live = mem_live(table);
-	message->digest = mem_digest(table);
+	mem_digest(table, &message->digest);
 	message->synced = table->synced;
 	message->rows[0] = table->own;
 	message->len = 1;
@@ -121,7 +122,8 @@
 	}
 }
 
-guint mem_fill(struct mem_table *table, struct mem_message *message, guint from)
+guint mem_fill(struct mem_table *table, struct mem_message *message, guint from,
+	       uint32_t buckets)
 {
 	guint len = table->members->len;
 	guint i;
@@ -131,6 +133,7 @@
 			table->members->pdata[(from + i) % len];
 
 		if (member->row.state == MEM_GONE ||
+		    !(buckets & 1u << mem_bucket(&member->row)) ||
 		    is_told(message, &member->row))
 			continue;
 		if (!has_room(message, &member->row))
--- a/packages/member/mem-table.c
+++ b/packages/member/mem-table.c
@@ -42,6 +42,7 @@
 	table->started = now;
 	table->beaten_at = now;
 	table->own.incarnation = settings->incarnation;
+	table->own.dc = (uint32_t)gb_hash(settings->dc, 0);
 	set_address(&table->own, settings->address);
 	table->members = g_ptr_array_new_with_free_func(g_free);
 	table->by_address = g_hash_table_new(address_hash, address_equal);
@@ -68,11 +69,6 @@
 	g_ptr_array_add(table->seeds, seed);
 }
 
-void mem_set_synced(struct mem_table *table, bool synced)
-{
-	table->synced = synced;
-}
-
 struct mem_member *mem_find(const struct mem_table *table,
 			    struct gb_str address)
 {
@@ -126,17 +122,42 @@
 	return gb_hash(mem_address(row), row->incarnation);
 }
 
-uint64_t mem_digest(const struct mem_table *table)
+uint32_t mem_bucket(const struct mem_row *row)
 {
-	uint64_t digest = hash_of(&table->own);
+	return gb_hash(mem_address(row), 0) % MEM_BUCKETS;
+}
 
+static void add_to_digest(struct mem_digest *digest, const struct mem_row *row)
+{
+	uint32_t bucket = mem_bucket(row);
+	uint64_t sum = hash_of(row) & 0xffff;
+
+	digest->word[bucket / 4] ^= sum << (bucket % 4 * 16);
+}
+
+void mem_digest(const struct mem_table *table, struct mem_digest *digest)
+{
+	*digest = (struct mem_digest){ { 0 } };
+	add_to_digest(digest, &table->own);
 	for (guint i = 0; i < table->members->len; i++) {
 		const struct mem_member *member = table->members->pdata[i];
 
 		if (member->row.state != MEM_GONE)
-			digest ^= hash_of(&member->row);
+			add_to_digest(digest, &member->row);
 	}
-	return digest;
+}
+
+uint32_t mem_differing(const struct mem_digest *a, const struct mem_digest *b)
+{
+	uint32_t set = 0;
+
+	for (uint32_t bucket = 0; bucket < MEM_BUCKETS; bucket++) {
+		uint64_t differ = a->word[bucket / 4] ^ b->word[bucket / 4];
+
+		if (differ >> (bucket % 4 * 16) & 0xffff)
+			set |= 1u << bucket;
+	}
+	return set;
 }
 
 /* A VM that has just started goes by the number that others know. */
@@ -184,7 +205,15 @@
 	return gb_hash(mem_address(row), key);
 }
 
-uint32_t mem_rank(const struct mem_table *table, uint64_t key)
+static bool is_in(const struct mem_table *table, enum mem_scope scope,
+		  const struct mem_member *member)
+{
+	return member->row.state != MEM_GONE &&
+	       (scope == MEM_ALL || member->row.dc == table->own.dc);
+}
+
+uint32_t mem_rank(const struct mem_table *table, enum mem_scope scope,
+		  uint64_t key)
 {
 	uint64_t own = rendezvous(&table->own, key);
 	uint32_t rank = 0;
@@ -192,20 +221,21 @@
 	for (guint i = 0; i < table->members->len; i++) {
 		const struct mem_member *member = table->members->pdata[i];
 
-		rank += member->row.state != MEM_GONE &&
+		rank += is_in(table, scope, member) &&
 			rendezvous(&member->row, key) > own;
 	}
 	return rank;
 }
 
-static bool pick_any(const struct mem_table *table, struct gb_str *address)
+static bool pick_any(const struct mem_table *table, enum mem_scope scope,
+		     struct gb_str *address)
 {
 	uint32_t found = 0;
 
 	for (guint i = 0; i < table->members->len; i++) {
 		const struct mem_member *member = table->members->pdata[i];
 
-		if (member->row.state == MEM_GONE)
+		if (!is_in(table, scope, member))
 			continue;
 		/* Each of those found is kept with the same chance. */
 		if (!gb_rng_below(table->rng, ++found))
@@ -214,22 +244,22 @@
 	return found > 0;
 }
 
-bool mem_pick(const struct mem_table *table, uint64_t key, uint32_t ranks,
-	      struct gb_str *address)
+bool mem_pick(const struct mem_table *table, enum mem_scope scope, uint64_t key,
+	      uint32_t ranks, struct gb_str *address)
 {
 	const struct mem_row *first[MEM_RANKS_MAX];
 	uint64_t hash[MEM_RANKS_MAX];
 	uint32_t len = 0;
 
 	if (!ranks)
-		return pick_any(table, address);
+		return pick_any(table, scope, address);
 	ranks = MIN(ranks, MEM_RANKS_MAX);
 	for (guint i = 0; i < table->members->len; i++) {
 		const struct mem_member *member = table->members->pdata[i];
 		uint64_t own = rendezvous(&member->row, key);
 		uint32_t at;
 
-		if (member->row.state == MEM_GONE ||
+		if (!is_in(table, scope, member) ||
 		    (len == ranks && own <= hash[len - 1]))
 			continue;
 		len = MIN(len + 1, ranks);
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -16,9 +16,9 @@
  *	Pings and answers carry rows about members: news first, each told a
  *	number of times that grows with the logarithm of the tier. Both carry
  *	a digest of the live members; where it differs from that of the other
- *	side, the answer is filled with further rows, so that what got lost is
- *	made up for. A VM that knows less than half of what the other knows
- *	gets several answers.
+ *	side, the answer is filled with rows of the members in question, so
+ *	that what got lost is made up for. A VM that knows less than half of
+ *what the other knows gets several answers.
  *
  *	No vote is taken: the table only serves to divide limits that all VMs
  *	share and to choose among them, and each VM stays within its part if
@@ -44,15 +44,27 @@
 	uint32_t address_len;
 	uint64_t incarnation; /* start of the process, in ms of wall time */
 	uint32_t beat; /* counted up by the member itself */
+	uint32_t dc; /* hash of the name of its data centre */
 	enum mem_state state;
 };
 
+/*
+ * The live members, as a sum of 16 bits for each of some buckets of them: VMs
+ * whose sums differ tell each other of the members in those buckets.
+ */
+#define MEM_BUCKETS 16
+#define MEM_DIGEST_WORDS (MEM_BUCKETS / 4)
+
+struct mem_digest {
+	uint64_t word[MEM_DIGEST_WORDS];
+};
+
 enum mem_kind { MEM_PING, MEM_ANSWER };
 
 struct mem_message {
 	enum mem_kind kind;
 	uint32_t live; /* members that the sender takes for live, with itself */
-	uint64_t digest; /* of those */
+	struct mem_digest digest; /* of those */
 	bool synced; /* the sender has read the stored objects */
 	struct mem_row rows[MEM_ROWS_MAX]; /* the sender is the first */
 	uint32_t len;
@@ -65,6 +77,7 @@
 
 struct mem_settings {
 	struct gb_str address; /* of this VM */
+	struct gb_str dc;
 	uint64_t incarnation;
 	gb_time interval; /* of mem_beat() */
 	gb_time answer; /* after which a ping counts as unanswered */
@@ -83,7 +96,7 @@
 /* An address to ping, whether or not a VM lives there. */
 void mem_add_seed(struct mem_table *table, struct gb_str address);
 
-/* What messages say of this VM from now on. */
+/* What messages say of this VM from now on; some members hear it at once. */
 void mem_set_synced(struct mem_table *table, bool synced);
 
 /* Judges the last pings and sends the next ones. */
@@ -100,19 +113,23 @@
 uint32_t mem_live(const struct mem_table *table);
 bool mem_settled(const struct mem_table *table, gb_time now);
 
+/* Which live members a choice is made of. */
+enum mem_scope { MEM_ALL, MEM_SAME_DC };
+
 /*
  * A random live member among the first ranks for a key, without this VM; with
  * 0 ranks among all. False if there is none. The address is valid until the
  * next message.
  */
 #define MEM_RANKS_MAX 8
-bool mem_pick(const struct mem_table *table, uint64_t key, uint32_t ranks,
-	      struct gb_str *address);
+bool mem_pick(const struct mem_table *table, enum mem_scope scope, uint64_t key,
+	      uint32_t ranks, struct gb_str *address);
 
 /* A random seed; false if there is none. */
 bool mem_pick_seed(const struct mem_table *table, struct gb_str *address);
 
 /* Rank of this VM by rendezvous hashing among the live ones; 0 is first. */
-uint32_t mem_rank(const struct mem_table *table, uint64_t key);
+uint32_t mem_rank(const struct mem_table *table, enum mem_scope scope,
+		  uint64_t key);
 
 #endif
--- a/packages/member/tests/member-test.c
+++ b/packages/member/tests/member-test.c
@@ -22,6 +22,7 @@
 	bool cut; /* nothing arrives here or leaves */
 	bool deaf; /* nothing arrives here */
 	bool paused;
+	char dc[8];
 };
 
 static void *open_ctx(void)
@@ -74,6 +75,7 @@
 	struct ctx *ctx = vm->ctx;
 	const struct mem_settings settings = {
 		.address = vm->address,
+		.dc = gb_str_from_c(vm->dc),
 		.incarnation = clock_ms,
 		.interval = 500 * GB_MSEC,
 		.answer = 1 * GB_SEC,
@@ -90,14 +92,18 @@
 static void cmd_vms(void *data, const struct scr_args *args, struct gb_buf *out)
 {
 	struct ctx *ctx = data;
+	int64_t dcs;
 
 	(void)out;
+	dcs = scr_int(args, GB_STR("dcs"), 1);
 	ctx->len = scr_int(args, GB_STR("n"), 4);
 	for (uint32_t i = 0; i < ctx->len; i++) {
 		struct gb_buf address = GB_BUF_INIT;
 
 		ctx->vm[i] = g_new0(struct vm, 1);
 		ctx->vm[i]->ctx = ctx;
+		g_snprintf(ctx->vm[i]->dc, sizeof(ctx->vm[i]->dc), "dc-%u",
+			   (unsigned int)(i % dcs));
 		gb_buf_addf(&address, "10.0.%u.%u:7380", i / 250, i % 250 + 1);
 		ctx->vm[i]->address = gb_str_dup(gb_buf_str(&address));
 		g_hash_table_insert(ctx->by_address, &ctx->vm[i]->address,
@@ -203,13 +209,29 @@
 
 		for (uint32_t i = 0; i < ctx->len; i++)
 			first += !ctx->vm[i]->cut &&
-				 !mem_rank(ctx->vm[i]->table, key);
+				 !mem_rank(ctx->vm[i]->table, MEM_ALL, key);
 		bad += first != 1;
 	}
 	gb_buf_addf(out, "%lld keys without exactly one first VM\n",
 		    (long long)bad);
 }
 
+/* VMs of the first ranks for one key, by data centre and among all. */
+static void cmd_first(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	uint32_t ranks = scr_int(args, GB_STR("ranks"), 3), all = 0, same = 0;
+	struct ctx *ctx = data;
+
+	for (uint32_t i = 0; i < ctx->len; i++) {
+		const struct mem_table *table = ctx->vm[i]->table;
+
+		all += mem_rank(table, MEM_ALL, 7) < ranks;
+		same += mem_rank(table, MEM_SAME_DC, 7) < ranks;
+	}
+	gb_buf_addf(out, "%u among all, %u by data centre\n", all, same);
+}
+
 static void cmd_bytes(void *data, const struct scr_args *args,
 		      struct gb_buf *out)
 {
@@ -237,6 +259,7 @@
 		{ GB_STR_INIT("restart"), cmd_restart },
 		{ GB_STR_INIT("show"), cmd_show },
 		{ GB_STR_INIT("ranks"), cmd_ranks },
+		{ GB_STR_INIT("first"), cmd_first },
 		{ GB_STR_INIT("bytes"), cmd_bytes },
 	};
 	static const struct scr_suite suite = {
--- a/packages/wire/wire-member.c
+++ b/packages/wire/wire-member.c
@@ -14,13 +14,21 @@
 
 	if (!xdr_bytes(xdrs, &address, &row->address_len, MEM_ADDRESS_MAX) ||
 	    !wire_xdr_u64(xdrs, &row->incarnation) ||
-	    !wire_xdr_u32(xdrs, &word))
+	    !wire_xdr_u32(xdrs, &row->dc) || !wire_xdr_u32(xdrs, &word))
 		return FALSE;
 	row->beat = word >> STATE_BITS;
 	row->state = word & ((1 << STATE_BITS) - 1);
 	return row->state <= MEM_GONE;
 }
 
+static bool_t xdr_digest(XDR *xdrs, struct mem_digest *digest)
+{
+	for (uint32_t i = 0; i < MEM_DIGEST_WORDS; i++)
+		if (!wire_xdr_u64(xdrs, &digest->word[i]))
+			return FALSE;
+	return TRUE;
+}
+
 static bool_t xdr_message(XDR *xdrs, struct mem_message *message)
 {
 	uint32_t magic = MAGIC, kind = message->kind;
@@ -29,7 +37,7 @@
 	if (!wire_xdr_u32(xdrs, &magic) || magic != MAGIC ||
 	    !wire_xdr_u32(xdrs, &kind) || kind > MEM_ANSWER ||
 	    !wire_xdr_u32(xdrs, &message->live) ||
-	    !wire_xdr_u64(xdrs, &message->digest) || !xdr_bool(xdrs, &synced) ||
+	    !xdr_digest(xdrs, &message->digest) || !xdr_bool(xdrs, &synced) ||
 	    !wire_xdr_u32(xdrs, &message->len) || message->len > MEM_ROWS_MAX)
 		return FALSE;
 	message->kind = kind;
