front: ask the store again when it answers one kind

With the phase of the long tries drawn for each VM, all four may be in a long try of up to 1.8 s when the store is back (one start in 27).

Change: the three kinds of objects have their long tries at different times, so at most one of them waits long, and an answer of the store to one kind makes the calls of the others anew.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -19,8 +19,8 @@
  * A store that is down may take a request and never answer it, so tries are
  * short; a slow store gets longer with each failure. A VM that serves nobody
  * yet gives most tries a short time, so that it notices soon when the store is
- * back; every second failure is that of another VM. VMs that start together
- * have their long tries at different times, and the first one tells the others.
+ * back; every second failure is that of another VM. Followers of different
+ * phases have their long tries at different times.
  */
 #define ANSWER_TIMEOUT_MIN (600 * GB_MSEC)
 #define ANSWER_TIMEOUT_STEP (300 * GB_MSEC)
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -18,7 +18,7 @@
 
 #include "base/gb.h"
 
-/* Of VMs that start together, so many have their long tries apart. */
+/* Followers of so many phases have their long tries apart. */
 #define DIR_PHASES 3
 
 enum dir_step {
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -3,6 +3,9 @@
 /* A follower that has failed for longer may miss changes that are in force. */
 #define BEHIND_AFTER (1 * GB_SEC)
 
+/* A store that is well answers sooner. */
+#define ANSWER_USUAL (100 * GB_MSEC)
+
 static void on_timer(uv_timer_t *timer);
 
 /* Ties the routes and services of a version to what outlives it. */
@@ -229,6 +232,35 @@
 	fr_mirror_changed(follow);
 }
 
+static void stop_call(struct fr_follow *follow)
+{
+	if (!follow->running)
+		return;
+	ht_call_cancel(&follow->call);
+	gb_buf_free(&follow->call.body);
+	follow->running = false;
+}
+
+/*
+ * The store has answered, so calls that it swallowed before are made again.
+ * The kinds have their long tries at different times, so one of them notices
+ * soon that the store is back.
+ */
+static void ask_again(struct fr *fr)
+{
+	gb_time now = ht_now();
+
+	for (int kind = 0; kind < FR_KINDS; kind++) {
+		struct fr_follow *follow = &fr->follows[kind];
+
+		if (follow->follower.synced || !follow->running ||
+		    !follow->at_store || now - follow->asked_at < ANSWER_USUAL)
+			continue;
+		stop_call(follow);
+		arm(follow, now);
+	}
+}
+
 /* Takes the answer of the store and waits for the next step. */
 static void finish(struct fr_follow *follow, enum ht_outcome outcome)
 {
@@ -241,6 +273,8 @@
 		answered && (follow->status == 200 || follow->status == 410));
 	if (answered && follow->status == 200) {
 		tell_back(follow, since);
+		if (follow->at_store && !fr_is_synced(follow->fr))
+			ask_again(follow->fr);
 		follow->answered_at = ht_now();
 		if (follow->follower.step == DIR_LIST)
 			take_list(follow);
@@ -330,11 +364,7 @@
 	follow->hint = peer;
 	if (follow->running && !follow->at_store)
 		return;
-	if (follow->running) {
-		ht_call_cancel(&follow->call);
-		gb_buf_free(&follow->call.body);
-		follow->running = false;
-	}
+	stop_call(follow);
 	arm(follow, ht_now());
 }
 
@@ -348,7 +378,6 @@
 
 int fr_directory_start(struct fr *fr)
 {
-	uint32_t phase = gb_rng_below(&fr->rng, DIR_PHASES);
 	struct sockaddr_storage addr;
 
 	if (ht_address(fr->settings.store, &addr))
@@ -360,7 +389,7 @@
 
 		follow->fr = fr;
 		follow->kind = kind;
-		dir_init(&follow->follower, phase);
+		dir_init(&follow->follower, kind);
 		follow->mirror = mir_new();
 		g_queue_init(&follow->polls);
 		uv_timer_init(fr->loop, &follow->timer);
