forward: refuse by expected delay before anything is sent

Cause: at four times the usual load, in-time answers fell below those of a usual second.

Change: a request whose parts would be delayed beyond its aim gets 503 at once, once delays have been that long for a second. The delay comes from the queue that an upstream reported and this VM's own calls, times the mean time in a slot. Times are learned without the wait. Hedges go to an upstream with a free slot only.

--- a/packages/fleet/fl-internal.h
+++ b/packages/fleet/fl-internal.h
@@ -28,7 +28,4 @@
 void fl_cold_take(const struct fl_fleet *fleet, struct fl_upstream *upstream,
 		  gb_time now);
 
-/* Slowness now, after it has faded. */
-double fl_slowness(const struct fl_upstream *upstream, gb_time now);
-
 #endif
--- a/packages/fleet/fl-score.c
+++ b/packages/fleet/fl-score.c
@@ -5,6 +5,7 @@
 /* Weights of the newest call in the moving averages. */
 #define SLOW_WEIGHT 0.3
 #define FAILURE_WEIGHT 0.2
+#define WORK_WEIGHT 0.05
 
 /* Times the usual time that a failed call costs, with the call that repeats it.
  */
@@ -146,6 +147,34 @@
 	return upstream->in_flight + others;
 }
 
+double fl_queued(const struct fl_upstream *upstream, gb_time now)
+{
+	return MAX((load(upstream, now) + 1) / upstream->slots - 1, 0);
+}
+
+gb_time fl_work(const struct fl_service *service, gb_time usual)
+{
+	return service->work > 0 ? service->work : usual;
+}
+
+gb_time fl_wait(const struct fl_upstream *upstream, gb_time usual, gb_time now)
+{
+	return fl_queued(upstream, now) * fl_work(upstream->service, usual) *
+	       fl_slowness(upstream, now);
+}
+
+void fl_worked(const struct fl_upstream *upstream, gb_time now, gb_time elapsed,
+	       double queued)
+{
+	struct fl_service *service = upstream->service;
+	double sample = elapsed / (1 + queued) / fl_slowness(upstream, now);
+
+	if (service->work <= 0)
+		service->work = sample;
+	else
+		service->work += WORK_WEIGHT * (sample - service->work);
+}
+
 /* Expected time until an answer, in microseconds. */
 static double cost(const struct fl_fleet *fleet,
 		   const struct fl_upstream *upstream, gb_time usual,
@@ -153,8 +182,7 @@
 {
 	double busy = load(upstream, now) / upstream->slots;
 	double time = usual * fl_slowness(upstream, now);
-	double queued = MAX(busy + 1.0 / upstream->slots - 1, 0);
-	double sum = time * (1 + 0.25 * busy + queued);
+	double sum = time * (1 + 0.25 * busy) + fl_wait(upstream, usual, now);
 
 	if (!gb_str_eq(upstream->dc, fleet->settings.dc))
 		sum += fleet->settings.hop;
@@ -214,7 +242,8 @@
 			continue;
 		at = rank(fleet, upstream, now, wait);
 		if (at > best_rank || at == RANK_NONE ||
-		    (need->spare && at != RANK_GOOD))
+		    (need->spare &&
+		     (at != RANK_GOOD || fl_queued(upstream, now) > 0)))
 			continue;
 		sum = cost(fleet, upstream, need->usual, now);
 		if (best && at == best_rank && sum >= best_cost)
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -38,6 +38,7 @@
 	GPtrArray *upstreams; /* of struct fl_upstream */
 	uint32_t conns_max; /* to one upstream, of all VMs; 0: unknown */
 	double cold_rate; /* requests/s that a cold upstream bears; 0: any */
+	double work; /* mean time in a slot of a usual upstream; 0: unknown */
 	void *data; /* of the forwarding decisions; freed with the service */
 };
 
@@ -138,7 +139,8 @@
 	gb_time usual; /* time of this kind of request */
 	const struct fl_upstream *const *except;
 	size_t except_len;
-	bool spare; /* a second try: only an upstream that does well */
+	/* A second try: only an upstream that does well, with a free slot. */
+	bool spare;
 };
 
 /*
@@ -149,6 +151,25 @@
 			    const struct fl_need *need, gb_time now,
 			    gb_time *wait);
 
+/*
+ * Rounds of its slots that a request would wait for at the upstream: 0 while a
+ * slot is free, 1 while each slot is taken and as many requests wait.
+ */
+double fl_queued(const struct fl_upstream *upstream, gb_time now);
+
+/* Its time over the usual time; what was learned fades. */
+double fl_slowness(const struct fl_upstream *upstream, gb_time now);
+
+/* Mean time in a slot, or the usual time of the kind while that is unknown. */
+gb_time fl_work(const struct fl_service *service, gb_time usual);
+
+/* Time that a request would wait for a slot. */
+gb_time fl_wait(const struct fl_upstream *upstream, gb_time usual, gb_time now);
+
+/* A request that waited for so many rounds was answered after the time. */
+void fl_worked(const struct fl_upstream *upstream, gb_time now, gb_time elapsed,
+	       double queued);
+
 /* Calls of this VM to an upstream; each fl_sent() has one of the ends. */
 void fl_sent(struct fl_fleet *fleet, struct fl_upstream *upstream, gb_time now);
 void fl_answered(struct fl_upstream *upstream, gb_time now, gb_time elapsed,
--- a/packages/forward/fw-call.c
+++ b/packages/forward/fw-call.c
@@ -17,7 +17,8 @@
 				  .running = true };
 	part->running++;
 	request->sends++;
-	part->hedge_at = now + fw_hedge_delay(part, now);
+	call->queued = fl_queued(upstream, now);
+	part->hedge_at = now + fw_hedge_delay(call, now);
 	fl_sent(engine->fleet, upstream, now);
 	met_add(engine->metrics, MET_SUB_REQUESTS, 1);
 	engine->ops->send(engine->ctx, call);
--- a/packages/forward/fw-done.c
+++ b/packages/forward/fw-done.c
@@ -1,5 +1,15 @@
 #include "forward/fw-internal.h"
 
+/* Takes the time that a call waited for a slot off its time. */
+static void learn(const struct fw_call *call, gb_time now, gb_time elapsed)
+{
+	gb_time least = elapsed / (1 + call->queued);
+
+	fw_pace_add(call->part->request->pace,
+		    MAX(elapsed - fw_waited(call), least));
+	fl_worked(call->upstream, now, elapsed, call->queued);
+}
+
 /* Notes what the end of a call says of its upstream. */
 static void score(struct fw_call *call, gb_time now, enum fw_outcome outcome,
 		  const struct fw_answer *answer)
@@ -14,9 +24,10 @@
 			fl_failed(upstream, now);
 			return;
 		}
-		fl_answered(upstream, now, elapsed, fw_usual(request));
+		fl_answered(upstream, now, elapsed,
+			    fw_usual(request) + fw_waited(call));
 		if (answer->success)
-			fw_pace_add(request->pace, elapsed);
+			learn(call, now, elapsed);
 		met_hist_add(&request->engine->metrics->histogram[MET_SUB_TIME],
 			     elapsed);
 		return;
--- a/packages/forward/fw-engine.c
+++ b/packages/forward/fw-engine.c
@@ -53,6 +53,7 @@
 		return pace;
 	}
 	pace = g_new0(struct fw_pace, 1);
+	pace->admission.since = GB_NEVER;
 	g_hash_table_insert(engine->paces, name, pace);
 	return pace;
 }
@@ -79,15 +80,23 @@
 		pace->usual *= 1 - PACE_STEP;
 }
 
-gb_time fw_hedge_delay(const struct fw_part *part, gb_time now)
+gb_time fw_hedge_delay(const struct fw_call *call, gb_time now)
 {
+	const struct fw_part *part = call->part;
 	const struct fw_request *request = part->request;
 	double level =
 		bud_level(part->service->data, &request->engine->budget, now);
 	double spent = 1 - MIN(level / BUDGET_FULL, 1);
 	double times = HEDGE_SOON + (HEDGE_LATE - HEDGE_SOON) * spent;
 
-	return times * fw_usual(request) + HEDGE_EXTRA;
+	return times * fw_usual(request) + HEDGE_EXTRA + fw_waited(call);
+}
+
+gb_time fw_waited(const struct fw_call *call)
+{
+	gb_time usual = fw_usual(call->part->request);
+
+	return call->queued * fl_work(call->part->service, usual);
 }
 
 void fw_event(const struct fw_request *request, enum ev_code code,
@@ -114,6 +123,7 @@
 		[FW_PASSED_ON] = GB_STR_INIT("passed_on"),
 		[FW_NO_UPSTREAM] = GB_STR_INIT("no_upstream"),
 		[FW_ALL_REFUSED] = GB_STR_INIT("all_refused"),
+		[FW_OVERLOAD] = GB_STR_INIT("overload"),
 		[FW_BROKEN] = GB_STR_INIT("broken"),
 		[FW_TOO_FEW] = GB_STR_INIT("too_few_parts"),
 		[FW_TIMEOUT] = GB_STR_INIT("timeout"),
--- a/packages/forward/fw-internal.h
+++ b/packages/forward/fw-internal.h
@@ -7,8 +7,9 @@
  *
  * DESCRIPTION
  *	Calls go one way: fw-request.c and fw-done.c take what happens and use
- *	fw-part.c, which decides about repeats, and fw-settle.c, which decides
- *	about the answer; both use fw-call.c, and all use fw-engine.c.
+ *	fw-admit.c, which decides whether a request is taken, fw-part.c, which
+ *	decides about repeats, and fw-settle.c, which decides about the answer;
+ *	they use fw-call.c, and all use fw-engine.c.
  */
 
 #include "forward/fw.h"
@@ -16,8 +17,11 @@
 /* Usual time of the request's kind, also before any was seen. */
 gb_time fw_usual(const struct fw_request *request);
 
-/* Time after which a part is sent to a second upstream. */
-gb_time fw_hedge_delay(const struct fw_part *part, gb_time now);
+/* Time after which the call's part is sent to a second upstream. */
+gb_time fw_hedge_delay(const struct fw_call *call, gb_time now);
+
+/* Time that the call was expected to wait for a slot when it was sent. */
+gb_time fw_waited(const struct fw_call *call);
 void fw_pace_add(struct fw_pace *pace, gb_time elapsed);
 
 /* Sends a part to the upstream; it becomes the part's last call. */
@@ -26,6 +30,15 @@
 void fw_call_cancel(struct fw_call *call, gb_time now);
 void fw_cancel_running(struct fw_part *part, gb_time now);
 
+/*
+ * Tells whether the request is to be refused, since the upstreams that were
+ * chosen for its parts have too much to do; *delay is set to how much longer
+ * than usual they would take for the parts that an answer needs.
+ */
+bool fw_is_overload(const struct fw_request *request,
+		    struct fl_upstream *const *chosen, uint32_t need,
+		    gb_time now, gb_time *delay);
+
 /* Chooses an upstream for a first or a further send of the part. */
 struct fl_upstream *fw_choose(struct fw_part *part, bool spare, gb_time now,
 			      gb_time *wait);
--- a/packages/forward/fw-request.c
+++ b/packages/forward/fw-request.c
@@ -94,6 +94,11 @@
 		g_free(chosen);
 		return;
 	}
+	if (fw_is_overload(request, chosen, need, now, &wait)) {
+		fw_fail(request, FW_OVERLOAD, wait, now);
+		g_free(chosen);
+		return;
+	}
 	for (uint32_t i = 0; i < request->parts_len; i++) {
 		if (chosen[i])
 			fw_call_start(&request->parts[i], chosen[i], FW_FIRST,
--- a/packages/forward/fw.h
+++ b/packages/forward/fw.h
@@ -14,6 +14,10 @@
  *	service. A request that may run only once is sent again only after a
  *	proof that it has not run.
  *
+ *	A request is refused before anything is sent if too few of its parts
+ *	have an upstream, or if the upstreams have so much to do that it would
+ *	be late. A burst that passes within a second is no reason for that.
+ *
  *	A fan-out is answered when all parts are settled, or when its aim is
  *	near and enough parts are in; it fails as soon as enough parts can no
  *	longer come in.
@@ -62,6 +66,7 @@
 	enum fw_cause cause;
 	gb_time started;
 	gb_time sent_at; /* 0 while it waits for a connection */
+	double queued; /* rounds that it waits for a slot, as expected */
 	bool running;
 	bool overdue;
 	enum fw_outcome outcome; /* once it no longer runs */
@@ -89,6 +94,7 @@
 	FW_PASSED_ON, /* the upstream's own failure */
 	FW_NO_UPSTREAM, /* not run: nothing that could run it */
 	FW_ALL_REFUSED, /* not run: each upstream refused */
+	FW_OVERLOAD, /* not run: it would wait for too long */
 	FW_BROKEN, /* it may have run; no answer came */
 	FW_TOO_FEW, /* too few parts of a fan-out can come in */
 	FW_TIMEOUT,
@@ -121,9 +127,16 @@
 		      const struct fl_upstream *upstream, struct gb_str detail);
 };
 
-/* Usual time of one kind of request, over its upstreams. */
+/* Whether more requests of one kind come than the upstreams can serve. */
+struct fw_admission {
+	bool overload;
+	gb_time since; /* the waits speak against the state since then */
+};
+
+/* What was learned of one kind of request, over its upstreams. */
 struct fw_pace {
 	double usual; /* median in microseconds; 0 until the first answer */
+	struct fw_admission admission;
 };
 
 struct fw_engine {
--- a/packages/route/rt-table.c
+++ b/packages/route/rt-table.c
@@ -117,9 +117,16 @@
 	return copy;
 }
 
-void rt_add_target(struct rt_route *route, const struct rt_service *service,
+/* The shorter of two aims, of which 0 is none. */
+static gb_time least_aim(gb_time a, gb_time b)
+{
+	return a && b ? MIN(a, b) : MAX(a, b);
+}
+
+void rt_add_target(struct rt_route *route, struct rt_service *service,
 		   double weight)
 {
+	gb_time *aim = &service->aim[MIN(route->priority, RT_PRIORITIES - 1)];
 	uint32_t len = route->targets_len + 1;
 
 	route->targets = g_renew(struct rt_target, route->targets, len);
@@ -128,6 +135,28 @@
 		(struct rt_target){ .service = service, .weight = weight };
 	route->sent_to[len - 1] = 0;
 	route->targets_len = len;
+	*aim = least_aim(*aim, route->aim);
+}
+
+gb_time rt_least_aim(const struct rt_route *route)
+{
+	gb_time aim = 0;
+
+	for (uint32_t i = 0; i < route->targets_len; i++)
+		for (uint32_t j = 0; j < RT_PRIORITIES; j++)
+			aim = least_aim(aim, route->targets[i].service->aim[j]);
+	return aim;
+}
+
+bool rt_is_outranked(const struct rt_route *route)
+{
+	uint32_t rank = MIN(route->priority, RT_PRIORITIES - 1);
+
+	for (uint32_t i = 0; i < route->targets_len; i++)
+		for (uint32_t j = 0; j < rank; j++)
+			if (route->targets[i].service->aim[j])
+				return true;
+	return false;
 }
 
 /* Tries each part of the path that ends with a slash, the longest first. */
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -17,6 +17,9 @@
 
 #include <glib.h>
 
+/* Priorities that are told apart; all less urgent ones count as the last. */
+#define RT_PRIORITIES 8
+
 enum rt_kind {
 	RT_IDEMPOTENT, /* may run more than once */
 	RT_ONCE /* runs at most once for each attempt of the caller */
@@ -26,11 +29,13 @@
 	struct gb_str name;
 	uint32_t conns_max; /* to one upstream, of all VMs */
 	double cold_rate; /* requests/s that a cold upstream bears; 0: any */
+	/* Least aim of the routes of each priority; 0 if there is none. */
+	gb_time aim[RT_PRIORITIES];
 	void *data; /* what the user of the table keeps for the service */
 };
 
 struct rt_target {
-	const struct rt_service *service;
+	struct rt_service *service;
 	double weight;
 };
 
@@ -85,9 +90,14 @@
 /* Adds a copy of the route without targets; NULL if its place is taken. */
 struct rt_route *rt_add_route(struct rt_table *table,
 			      const struct rt_route *route);
-void rt_add_target(struct rt_route *route, const struct rt_service *service,
+void rt_add_target(struct rt_route *route, struct rt_service *service,
 		   double weight);
 
+/* Least aim of the routes to the same services; 0 for none. */
+gb_time rt_least_aim(const struct rt_route *route);
+/* Tells whether a more urgent route leads to the same services. */
+bool rt_is_outranked(const struct rt_route *route);
+
 /* The route of that host with the longest prefix of the path, or NULL. */
 struct rt_route *rt_find(const struct rt_table *table, struct gb_str host,
 			 struct gb_str path);
