fleet: leave out upstreams that do not answer

Cause: with both replicas of two shards silent, each request still sent its parts there and waited until its aim; when a third shard failed it waited until its deadline, although three calls in a row, and all for seconds, had told that nothing would come.

Change: after three calls without an answer an upstream is unresponsive while it is avoided. If nothing was heard of it for a second it gets no calls in that time, and a request that needs more parts than may still come in ends at once.

--- a/packages/fleet/fl-score.c
+++ b/packages/fleet/fl-score.c
@@ -26,6 +26,15 @@
 #define DOWN_MAX (600 * GB_MSEC)
 #define DOUBLINGS_MAX 5
 
+/* Calls in a row without an answer that make an upstream unresponsive. */
+#define ABANDONED_MAX 3
+
+/*
+ * An upstream that is only slow is heard of within this time, since calls to
+ * it that are needed are not cancelled.
+ */
+#define SILENCE_MAX (1 * GB_SEC)
+
 /* What an upstream reported of other VMs' calls holds for about this time. */
 #define REPORT_AGE_MAX (60 * GB_MSEC)
 
@@ -74,6 +83,7 @@
 {
 	upstream->in_flight--;
 	upstream->abandoned = 0;
+	upstream->heard_at = now;
 	upstream->unreachable = 0;
 	upstream->avoid_until = 0;
 	upstream->down_until = 0;
@@ -84,6 +94,7 @@
 void fl_refused(struct fl_upstream *upstream, gb_time now)
 {
 	upstream->in_flight--;
+	upstream->heard_at = now;
 	upstream->unreachable = 0;
 	add_failure(upstream, now, 1);
 }
@@ -101,25 +112,42 @@
 		now + doubled(DOWN_MIN, upstream->unreachable++, DOWN_MAX);
 }
 
+/* Time for which an upstream is avoided after one more call was late. */
+static gb_time avoid_time(const struct fl_upstream *upstream, gb_time usual)
+{
+	return doubled(MAX(2 * usual, AVOID_MIN), upstream->abandoned,
+		       AVOID_MAX);
+}
+
 void fl_overdue(struct fl_upstream *upstream, gb_time now, gb_time usual)
 {
-	gb_time until = now + MAX(2 * usual, AVOID_MIN);
+	gb_time until = now + avoid_time(upstream, usual);
 
 	upstream->avoid_until = MAX(upstream->avoid_until, until);
 }
 
+bool fl_is_unresponsive(const struct fl_upstream *upstream, gb_time now)
+{
+	return upstream->abandoned >= ABANDONED_MAX &&
+	       upstream->avoid_until > now;
+}
+
+bool fl_is_silent(const struct fl_upstream *upstream, gb_time now)
+{
+	return fl_is_unresponsive(upstream, now) &&
+	       now - upstream->heard_at > SILENCE_MAX;
+}
+
 void fl_abandoned(struct fl_upstream *upstream, gb_time now, gb_time elapsed,
 		  gb_time usual)
 {
-	gb_time first = MAX(2 * usual, AVOID_MIN);
-
 	upstream->in_flight--;
 	/* One that had less than the usual time says nothing. */
 	if (elapsed < usual + usual / 2)
 		return;
 	add_slow_sample(upstream, now, elapsed, usual);
-	upstream->avoid_until =
-		now + doubled(first, upstream->abandoned++, AVOID_MAX);
+	upstream->avoid_until = now + avoid_time(upstream, usual);
+	upstream->abandoned++;
 }
 
 void fl_misdirected(struct fl_fleet *fleet, struct fl_upstream *upstream,
@@ -221,6 +249,10 @@
 		*wait = MIN(*wait, AVOID_MIN);
 		return RANK_NONE;
 	}
+	if (fl_is_silent(upstream, now)) {
+		*wait = MIN(*wait, upstream->avoid_until - now);
+		return RANK_NONE;
+	}
 	return upstream->avoid_until > now ? RANK_AVOIDED : RANK_GOOD;
 }
 
@@ -258,6 +290,8 @@
 void fl_sent(struct fl_fleet *fleet, struct fl_upstream *upstream, gb_time now)
 {
 	upstream->in_flight++;
+	if (!upstream->heard_at)
+		upstream->heard_at = now;
 	if (upstream->cold_until > now)
 		fl_cold_take(fleet, upstream, now);
 }
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -18,6 +18,7 @@
  *	- overdue calls: while a call is late, and for a while after one was
  *	  abandoned, others go elsewhere; the time doubles with each call that
  *	  is abandoned in a row, so that a silent upstream gets few requests;
+ *	  one that was not heard of for a second gets none in that time;
  *	- unreachable: after a failed connect it gets nothing for a time that
  *	  doubles as well.
  *
@@ -73,6 +74,7 @@
 	gb_time failures_at;
 	gb_time avoid_until; /* since a call is or was overdue */
 	uint32_t abandoned; /* calls in a row without an answer */
+	gb_time heard_at; /* the last answer or refusal, or the first call */
 	gb_time down_until; /* since it could not be reached */
 	uint32_t unreachable; /* connects in a row that failed */
 	double others; /* calls of other VMs, as it last reported */
@@ -191,6 +193,15 @@
 void fl_reported(struct fl_upstream *upstream, gb_time now, uint32_t running,
 		 uint32_t waiting);
 
+/*
+ * Tells whether several calls in a row had no answer, and none is to be
+ * expected of the next one either.
+ */
+bool fl_is_unresponsive(const struct fl_upstream *upstream, gb_time now);
+
+/* The same, and nothing was heard of it for longer than a slow one takes. */
+bool fl_is_silent(const struct fl_upstream *upstream, gb_time now);
+
 /* Open connections to the upstream that this VM may have. */
 uint32_t fl_conns(const struct fl_fleet *fleet,
 		  const struct fl_upstream *upstream);
--- a/packages/forward/fw-settle.c
+++ b/packages/forward/fw-settle.c
@@ -100,6 +100,30 @@
 	return request->sends ? FW_ALL_REFUSED : FW_NO_UPSTREAM;
 }
 
+/* Tells whether the part waits for silent upstreams only. */
+static bool is_hopeless(const struct fw_part *part, gb_time now)
+{
+	if (part->state != FW_WAITING || !part->running)
+		return false;
+	for (uint32_t i = 0; i < part->calls_len; i++)
+		if (part->calls[i].running &&
+		    !fl_is_silent(part->calls[i].upstream, now))
+			return false;
+	return true;
+}
+
+/* The number of parts that are in or may yet come in. */
+static uint32_t parts_possible(const struct fw_request *request, gb_time now)
+{
+	uint32_t count = request->parts_len - request->parts_missing;
+
+	if (!request->parts_missing)
+		return count;
+	for (uint32_t i = 0; i < request->parts_len; i++)
+		count -= is_hopeless(&request->parts[i], now);
+	return count;
+}
+
 void fw_settle(struct fw_request *request, gb_time now)
 {
 	uint32_t need = 1;
@@ -117,7 +141,7 @@
 			answer_single(request, now);
 		return;
 	}
-	if (request->parts_len - request->parts_missing < need) {
+	if (parts_possible(request, now) < need) {
 		fw_fail(request, failure(request), GB_NEVER, now);
 		return;
 	}
