fleet: a leaving upstream is a last resort for 2.5 s at most

Ruled out: a change lost by a reader's mirror.

Change: the time is bounded by what the last resort is for, entries that the directory lost and that are back within 2 s.

--- a/packages/fleet/fl-fleet.c
+++ b/packages/fleet/fl-fleet.c
@@ -3,6 +3,16 @@
 /* A cold upstream takes longer for each request, until its times are known. */
 #define COLD_SLOWNESS 1.6
 
+/*
+ * An entry that the directory lost while it was away is back within 2 s of its
+ * return. A VM may learn late that an upstream leaves, so one that is drained
+ * for longer is given up before it ends.
+ */
+#define LINGER_MAX (2500 * GB_MSEC)
+
+/* Of the time that a leaving upstream serves; the rest is on its way. */
+#define LINGER_MARGIN (800 * GB_MSEC)
+
 static void free_service(gpointer data)
 {
 	struct fl_service *service = data;
@@ -23,6 +33,11 @@
 	g_free(upstream);
 }
 
+static gb_time linger_of(gb_time drain)
+{
+	return CLAMP(drain - LINGER_MARGIN, 0, LINGER_MAX);
+}
+
 struct fl_fleet *fl_new(const struct fl_settings *settings,
 			const struct fl_ops *ops, const struct fl_share *share,
 			void *ctx, struct gb_rng *rng)
@@ -30,6 +45,7 @@
 	struct fl_fleet *fleet = g_new0(struct fl_fleet, 1);
 
 	fleet->settings = *settings;
+	fleet->linger = linger_of(settings->drain);
 	fleet->ops = ops;
 	fleet->share = share;
 	fleet->ctx = ctx;
@@ -143,7 +159,7 @@
 	take_cold(upstream, now, entry->cold);
 	/* One that is leaving when it is first seen may have left long ago. */
 	if (entry->leaving && !upstream->leaving)
-		upstream->left_at = is_new ? now - fleet->settings.linger : now;
+		upstream->left_at = is_new ? now - fleet->linger : now;
 	upstream->leaving = entry->leaving;
 	return upstream;
 }
@@ -204,7 +220,7 @@
 		struct fl_upstream *upstream = value;
 
 		if (!upstream->leaving || upstream->in_flight ||
-		    now - upstream->left_at < 2 * fleet->settings.linger)
+		    now - upstream->left_at < 2 * fleet->linger)
 			continue;
 		fleet->ops->forget(fleet->ctx, upstream);
 		g_ptr_array_remove(upstream->service->upstreams, upstream);
--- a/packages/fleet/fl-internal.h
+++ b/packages/fleet/fl-internal.h
@@ -10,6 +10,7 @@
 
 struct fl_fleet {
 	struct fl_settings settings;
+	gb_time linger; /* last resort after an upstream has left */
 	const struct fl_ops *ops;
 	const struct fl_share *share;
 	void *ctx;
--- a/packages/fleet/fl-score.c
+++ b/packages/fleet/fl-score.c
@@ -155,7 +155,7 @@
 {
 	upstream->in_flight--;
 	upstream->leaving = true;
-	upstream->left_at = now - fleet->settings.linger;
+	upstream->left_at = now - fleet->linger;
 }
 
 void fl_reported(struct fl_upstream *upstream, gb_time now, uint32_t running,
@@ -242,9 +242,8 @@
 		return RANK_NONE;
 	}
 	if (upstream->leaving)
-		return now - upstream->left_at < fleet->settings.linger
-			       ? RANK_LEAVING
-			       : RANK_NONE;
+		return now - upstream->left_at < fleet->linger ? RANK_LEAVING
+							       : RANK_NONE;
 	if (upstream->cold_until > now && !fl_cold_room(fleet, upstream, now)) {
 		*wait = MIN(*wait, AVOID_MIN);
 		return RANK_NONE;
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -93,7 +93,7 @@
 struct fl_settings {
 	struct gb_str dc; /* of this VM */
 	gb_time hop; /* there and back to another data centre */
-	gb_time linger; /* last resort after an upstream has left */
+	gb_time drain; /* for which an upstream that leaves still serves */
 	double cold_burst; /* requests that a cold upstream bears at once */
 };
 
--- a/packages/fleet/tests/fleet-test.c
+++ b/packages/fleet/tests/fleet-test.c
@@ -43,22 +43,28 @@
 	return ctx->rank;
 }
 
-static void *open_ctx(void)
+static struct fl_fleet *new_fleet(struct ctx *ctx, gb_time drain)
 {
 	static const struct fl_ops ops = { .forget = on_forget,
 					   .included = on_included };
 	static const struct fl_share share = { .vms = vms, .rank = rank };
 	const struct fl_settings settings = { .dc = GB_STR_INIT("here"),
 					      .hop = 6 * GB_MSEC,
-					      .linger = 2 * GB_SEC,
+					      .drain = drain,
 					      .cold_burst = 5 };
+
+	return fl_new(&settings, &ops, &share, ctx, &ctx->rng);
+}
+
+static void *open_ctx(void)
+{
 	struct ctx *ctx = g_new0(struct ctx, 1);
 
 	ctx->now = GB_SEC;
 	ctx->usual = 10 * GB_MSEC;
 	ctx->vms = 1;
 	ctx->rng.state = 7;
-	ctx->fleet = fl_new(&settings, &ops, &share, ctx, &ctx->rng);
+	ctx->fleet = new_fleet(ctx, 2800 * GB_MSEC);
 	return ctx;
 }
 
@@ -71,6 +77,17 @@
 	g_free(ctx);
 }
 
+/* drain ms=: a fleet whose upstreams serve for so long while they leave */
+static void cmd_drain(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	ctx->out = out;
+	fl_free(ctx->fleet);
+	ctx->fleet = new_fleet(ctx, scr_int(args, GB_STR("ms"), 0) * GB_MSEC);
+}
+
 /* put ID dc= born= leaving= cold_ms= address= */
 static void cmd_put(void *data, const struct scr_args *args, struct gb_buf *out)
 {
@@ -281,6 +298,7 @@
 int main(int argc, char **argv)
 {
 	static const struct scr_command commands[] = {
+		{ GB_STR_INIT("drain"), cmd_drain },
 		{ GB_STR_INIT("put"), cmd_put },
 		{ GB_STR_INIT("remove"), cmd_remove },
 		{ GB_STR_INIT("list"), cmd_list },
--- a/packages/forward/tests/forward-test.c
+++ b/packages/forward/tests/forward-test.c
@@ -135,7 +135,7 @@
 	static const struct fl_ops fleet_ops = { .forget = on_forget };
 	static const struct fl_share share = { .vms = vms, .rank = rank };
 	const struct fl_settings settings = { .dc = GB_STR_INIT("here"),
-					      .linger = 2 * GB_SEC };
+					      .drain = 2800 * GB_MSEC };
 	struct ctx *ctx = g_new0(struct ctx, 1);
 
 	ctx->now = GB_SEC;
--- a/packages/forward/tests/load-test.c
+++ b/packages/forward/tests/load-test.c
@@ -63,7 +63,7 @@
 	static const struct fl_share share = { .vms = share_vms,
 					       .rank = share_rank };
 	const struct fl_settings settings = { .dc = GB_STR_INIT("here"),
-					      .linger = 2 * GB_SEC,
+					      .drain = 2800 * GB_MSEC,
 					      .cold_burst = 5 };
 
 	vm->w = w;
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -29,9 +29,6 @@
  */
 #define HOP (12 * GB_MSEC)
 
-/* Of the time that a leaving upstream serves; the rest is on its way. */
-#define LINGER_MARGIN (800 * GB_MSEC)
-
 static void on_tick(uv_timer_t *timer);
 
 static void say(struct fr *fr, enum ev_code code)
@@ -199,7 +196,7 @@
 	const struct fl_settings fleet = {
 		.dc = fr->settings.dc,
 		.hop = HOP,
-		.linger = MAX(fr->settings.drain - LINGER_MARGIN, 0),
+		.drain = fr->settings.drain,
 		.cold_burst = fr->settings.cold_allowance,
 	};
 
