front: refuse requests that crash the upstreams that run them

Change: lost runs in a row are counted by host, path and body, and any answer clears them; runs that were sent before the last loss are the same crash. Other VMs are told after two, the request is refused after three. The table, message and encoding are those of role vm; the number of crashes is a parameter of the table.

--- a/packages/forward/fw-done.c
+++ b/packages/forward/fw-done.c
@@ -20,6 +20,7 @@
 
 	switch (outcome) {
 	case FW_ANSWERED:
+		fw_vouch(request);
 		if (!answer->success && answer->status >= 500) {
 			fl_failed(upstream, now);
 			return;
@@ -42,6 +43,7 @@
 		return;
 	case FW_LOST:
 		fl_failed(upstream, now);
+		fw_suspect(call, now);
 		return;
 	}
 }
--- a/packages/forward/fw-engine.c
+++ b/packages/forward/fw-engine.c
@@ -124,6 +124,7 @@
 		[FW_NO_UPSTREAM] = GB_STR_INIT("no_upstream"),
 		[FW_ALL_REFUSED] = GB_STR_INIT("all_refused"),
 		[FW_OVERLOAD] = GB_STR_INIT("overload"),
+		[FW_QUARANTINED] = GB_STR_INIT("quarantined"),
 		[FW_BROKEN] = GB_STR_INIT("broken"),
 		[FW_TOO_FEW] = GB_STR_INIT("too_few_parts"),
 		[FW_TIMEOUT] = GB_STR_INIT("timeout"),
--- a/packages/forward/fw-internal.h
+++ b/packages/forward/fw-internal.h
@@ -7,7 +7,8 @@
  *
  * DESCRIPTION
  *	Calls go one way: fw-request.c and fw-done.c take what happens and use
- *	fw-admit.c, which decides whether a request is taken, fw-part.c, which
+ *	fw-admit.c, which decides whether a request is taken, fw-suspect.c,
+ *	which keeps requests that crash upstreams, fw-part.c, which
  *	decides about repeats, and fw-settle.c, which decides about the answer;
  *	they use fw-call.c, and all use fw-engine.c.
  */
@@ -30,6 +31,13 @@
 void fw_call_cancel(struct fw_call *call, gb_time now);
 void fw_cancel_running(struct fw_part *part, gb_time now);
 
+/* Tells whether the request is taken to crash its upstreams. */
+bool fw_is_quarantined(const struct fw_request *request, gb_time now);
+
+/* Notes a run that was lost, or one that was answered. */
+void fw_suspect(const struct fw_call *call, gb_time now);
+void fw_vouch(const struct fw_request *request);
+
 /*
  * Tells whether the request is to be refused, since the upstreams that were
  * chosen for its parts have too much to do; *delay is set to how much longer
--- a/packages/forward/fw-part.c
+++ b/packages/forward/fw-part.c
@@ -168,7 +168,8 @@
 	gb_time wait = GB_NEVER;
 
 	part->retry_at = GB_NEVER;
-	if (part->calls_len == FW_CALLS_MAX || !may_repeat(request)) {
+	if (part->calls_len == FW_CALLS_MAX || !may_repeat(request) ||
+	    fw_is_quarantined(request, now)) {
 		fw_part_missing(part);
 		return;
 	}
--- a/packages/forward/fw-request.c
+++ b/packages/forward/fw-request.c
@@ -46,6 +46,7 @@
 	request->route = route;
 	request->pace = route->data;
 	request->id = ask->id;
+	request->fingerprint = ask->fingerprint;
 	request->data = ask->data;
 	request->received = ask->received;
 	request->end = end_of(route, ask);
@@ -100,7 +101,8 @@
 	return found - dropped;
 }
 
-void fw_start(struct fw_request *request, gb_time now)
+/* Sends each part that has an upstream, or refuses the request. */
+static void send_first(struct fw_request *request, gb_time now)
 {
 	struct fl_upstream **chosen =
 		g_new(struct fl_upstream *, request->parts_len);
@@ -113,13 +115,11 @@
 	if (found < need) {
 		/* It cannot be served, so nothing is sent and none is kept. */
 		fw_fail(request, FW_NO_UPSTREAM, wait, now);
-		g_free(chosen);
-		return;
+		goto out;
 	}
 	if (fw_is_overload(request, chosen, need, now, &wait)) {
 		fw_fail(request, FW_OVERLOAD, wait, now);
-		g_free(chosen);
-		return;
+		goto out;
 	}
 	for (uint32_t i = 0; i < request->parts_len; i++) {
 		if (chosen[i])
@@ -128,8 +128,17 @@
 		else
 			fw_part_missing(&request->parts[i]);
 	}
-	g_free(chosen);
 	fw_settle(request, now);
+out:
+	g_free(chosen);
+}
+
+void fw_start(struct fw_request *request, gb_time now)
+{
+	if (fw_is_quarantined(request, now))
+		fw_fail(request, FW_QUARANTINED, GB_NEVER, now);
+	else
+		send_first(request, now);
 }
 
 void fw_tick(struct fw_request *request, gb_time now)
--- /dev/null
+++ b/packages/forward/fw-suspect.c
@@ -0,0 +1,38 @@
+#include "forward/fw-internal.h"
+
+/* A single lost run is mostly an answer that was lost, and not told. */
+#define CRASHES_TOLD 2
+
+bool fw_is_quarantined(const struct fw_request *request, gb_time now)
+{
+	const struct sus_table *suspects = request->engine->suspects;
+
+	return suspects && sus_state(suspects, now, request->fingerprint) ==
+				   SUS_QUARANTINED;
+}
+
+void fw_suspect(const struct fw_call *call, gb_time now)
+{
+	const struct fw_request *request = call->part->request;
+	struct fw_engine *engine = request->engine;
+	uint32_t crashes;
+
+	if (!engine->suspects || !sus_lost(engine->suspects, now,
+					   request->fingerprint, call->sent_at))
+		return;
+	crashes = sus_crashes(engine->suspects, request->fingerprint);
+	fw_event(request,
+		 fw_is_quarantined(request, now) ? EV_SUSPECT_QUARANTINED
+						 : EV_SUSPECT_CRASH,
+		 call->upstream, "fingerprint=%016llx crashes=%u",
+		 (unsigned long long)request->fingerprint, crashes);
+	if (crashes >= CRASHES_TOLD)
+		engine->ops->crashed(engine->ctx, request->fingerprint,
+				     crashes);
+}
+
+void fw_vouch(const struct fw_request *request)
+{
+	if (request->engine->suspects)
+		sus_clear(request->engine->suspects, request->fingerprint);
+}
--- a/packages/forward/fw.h
+++ b/packages/forward/fw.h
@@ -22,6 +22,9 @@
  *	near and enough parts are in; it fails as soon as enough parts can no
  *	longer come in.
  *
+ *	A request of which several runs in a row were lost, and none answered,
+ *	is taken to crash its upstreams: it is quarantined, on all VMs.
+ *
  *	The package reads no clock and does no I/O: the shell hands in the
  *	time and what happened, and acts on the calls of struct fw_ops. It asks
  *	fw_next() when to call fw_tick() again.
@@ -32,6 +35,7 @@
 #include "fleet/fl.h"
 #include "metric/met.h"
 #include "route/rt.h"
+#include "suspect/sus.h"
 
 /* Sends of one part, those that were proved not to have run included. */
 #define FW_CALLS_MAX 4
@@ -95,6 +99,7 @@
 	FW_NO_UPSTREAM, /* not run: nothing that could run it */
 	FW_ALL_REFUSED, /* not run: each upstream refused */
 	FW_OVERLOAD, /* not run: it would wait for too long */
+	FW_QUARANTINED, /* it crashes the upstreams that run it */
 	FW_BROKEN, /* it may have run; no answer came */
 	FW_TOO_FEW, /* too few parts of a fan-out can come in */
 	FW_TIMEOUT,
@@ -125,6 +130,8 @@
 	void (*event)(void *ctx, enum ev_code code,
 		      const struct fw_request *request,
 		      const struct fl_upstream *upstream, struct gb_str detail);
+	/* A request may have crashed so many upstreams, to be told to VMs. */
+	void (*crashed)(void *ctx, uint64_t fingerprint, uint32_t crashes);
 };
 
 /* Whether more requests of one kind come than the upstreams can serve. */
@@ -146,6 +153,7 @@
 	struct gb_rng *rng;
 	struct met_registry *metrics;
 	struct bud_limits budget;
+	struct sus_table *suspects; /* NULL for none */
 	GHashTable *paces; /* name of a route to struct fw_pace */
 };
 
@@ -155,6 +163,7 @@
 	struct rt_route *route;
 	struct fw_pace *pace;
 	struct gb_str id;
+	uint64_t fingerprint;
 	gb_time received;
 	gb_time end; /* the caller's deadline, or the route's timeout */
 	gb_time aim_at; /* a fan-out is answered with what is in */
@@ -179,6 +188,7 @@
 /* What a caller asks for. */
 struct fw_ask {
 	struct gb_str id;
+	uint64_t fingerprint; /* the same for a request that comes again */
 	gb_time received;
 	gb_time deadline; /* time that the caller waits; 0 if not given */
 	gb_time way; /* time on the network, there and back */
--- a/packages/forward/tests/forward-test.c
+++ b/packages/forward/tests/forward-test.c
@@ -107,6 +107,14 @@
 	(void)detail;
 }
 
+static void on_crashed(void *data, uint64_t fingerprint, uint32_t crashes)
+{
+	struct ctx *ctx = data;
+
+	(void)fingerprint;
+	put(ctx, "tells other VMs of %u crashes", crashes);
+}
+
 static void on_forget(void *ctx, struct fl_upstream *upstream)
 {
 	(void)ctx;
@@ -131,7 +139,8 @@
 	static const struct fw_ops ops = { .send = on_send,
 					   .cancel = on_cancel,
 					   .reply = on_reply,
-					   .event = on_event };
+					   .event = on_event,
+					   .crashed = on_crashed };
 	static const struct fl_ops fleet_ops = { .forget = on_forget };
 	static const struct fl_share share = { .vms = vms, .rank = rank };
 	const struct fl_settings settings = { .dc = GB_STR_INIT("here"),
@@ -148,6 +157,7 @@
 						  .window = 10 * GB_SEC,
 						  .vms = 1,
 						  .settled = true };
+	ctx->engine.suspects = sus_new(100, 3, 10 * GB_SEC);
 	ctx->table = rt_table_new(1);
 	return ctx;
 }
@@ -171,6 +181,7 @@
 	ctx->quiet = true;
 	drop_ended(ctx, true);
 	rt_table_unref(ctx->table);
+	sus_free(ctx->engine.suspects);
 	fw_engine_clear(&ctx->engine);
 	fl_free(ctx->fleet);
 	g_free(ctx);
@@ -283,7 +294,9 @@
 		gb_time deadline)
 {
 	uint32_t i = ctx->requests++;
-	struct fw_ask ask = { .received = ctx->now, .deadline = deadline };
+	struct fw_ask ask = { .fingerprint = gb_hash(path, 0),
+			      .received = ctx->now,
+			      .deadline = deadline };
 
 	g_assert(i < REQUESTS_MAX && id.len < sizeof(ctx->id[i]));
 	memcpy(ctx->id[i], id.ptr, id.len);
@@ -422,6 +435,17 @@
 	run_until(ctx, ctx->now + scr_int(args, GB_STR("ms"), 0) * GB_MSEC);
 }
 
+/* learn PATH crashes=: another VM has told of a request's crashes */
+static void cmd_learn(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)out;
+	sus_learn(ctx->engine.suspects, ctx->now, gb_hash(scr_word(args, 0), 0),
+		  scr_int(args, GB_STR("crashes"), 0));
+}
+
 static void cmd_gone(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
 {
@@ -475,6 +499,7 @@
 		{ GB_STR_INIT("misdirect"), cmd_misdirect },
 		{ GB_STR_INIT("wait"), cmd_wait },
 		{ GB_STR_INIT("gone"), cmd_gone },
+		{ GB_STR_INIT("learn"), cmd_learn },
 		{ GB_STR_INIT("stop"), cmd_stop },
 	};
 	static const struct scr_suite suite = {
--- a/packages/front/fr-caller.c
+++ b/packages/front/fr-caller.c
@@ -82,6 +82,8 @@
 {
 	struct fr_query *query = g_new0(struct fr_query, 1);
 	const struct fw_ask forward = { .id = ask->id,
+					.fingerprint = fr_fingerprint(
+						&x->request, ask->host),
 					.received = x->received,
 					.deadline = ask->deadline,
 					.way = x->way,
@@ -265,6 +267,7 @@
 	.cancel = fr_upstream_cancel,
 	.reply = on_reply,
 	.event = on_event,
+	.crashed = fr_suspect_tell,
 };
 
 /* Ends what still runs, before the process is killed. */
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -130,6 +130,21 @@
 /* Tells whether this VM is one of those that all know from the start. */
 bool fr_is_seed(const struct fr *fr);
 
+/* Sends a datagram to a member; one that gets lost is not sent again. */
+void fr_member_send(struct fr *fr, struct gb_str member, struct gb_str bytes);
+
+/* Requests that crash upstreams. */
+void fr_suspect_start(struct fr *fr);
+
+/* Names a request that comes again by its host, path and body. */
+uint64_t fr_fingerprint(const struct ht_request *request, struct gb_str host);
+
+/* Tells members how many upstreams a request may have crashed. */
+void fr_suspect_tell(void *ctx, uint64_t fingerprint, uint32_t crashes);
+
+/* Takes what a member told, if the datagram is of that kind. */
+void fr_suspect_take(struct fr *fr, struct gb_str datagram);
+
 /* Readiness, metrics and status. */
 extern const struct ht_server_ops fr_ready_ops;
 extern const struct ht_server_ops fr_control_ops;
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -204,6 +204,7 @@
 	fr->fleet = fl_new(&fleet, &fr_fleet_ops, &fr_share, fr, &fr->rng);
 	fw_engine_init(&fr->engine, fr->fleet, &fr_forward_ops, fr, &fr->rng,
 		       &fr->metrics);
+	fr_suspect_start(fr);
 }
 
 static void init_signals(struct fr *fr)
--- a/packages/front/fr-member.c
+++ b/packages/front/fr-member.c
@@ -53,15 +53,18 @@
 			const struct sockaddr *from, unsigned int flags)
 {
 	struct fr *fr = udp->data;
+	struct gb_str bytes = { buf->base, len };
 	struct mem_message message;
 
 	(void)flags;
 	if (len <= 0 || !from)
 		return;
-	if (wire_member_decode((struct gb_str){ buf->base, len }, &message))
-		return;
 	met_add(&fr->metrics, MET_PEER_MESSAGES, 1);
 	met_add(&fr->metrics, MET_PEER_BYTES, len);
+	if (wire_member_decode(bytes, &message)) {
+		fr_suspect_take(fr, bytes);
+		return;
+	}
 	mem_take(fr->members, ht_now(), &message);
 	fr_update_limits(fr);
 	if (message.synced && message.len)
@@ -70,21 +73,25 @@
 					     message.rows[0].address_len });
 }
 
-static void on_send(void *ctx, struct gb_str address,
-		    const struct mem_message *message)
+void fr_member_send(struct fr *fr, struct gb_str member, struct gb_str bytes)
 {
-	struct gb_buf bytes = GB_BUF_INIT;
+	uv_buf_t buf = uv_buf_init((char *)bytes.ptr, bytes.len);
 	struct sockaddr_storage addr;
-	struct fr *fr = ctx;
-	uv_buf_t buf;
 
-	if (ht_address(address, &addr))
+	if (ht_address(member, &addr))
 		return;
-	wire_member_encode(message, &bytes);
-	buf = uv_buf_init(bytes.ptr, bytes.len);
 	/* A datagram that the socket does not take is lost like others. */
 	uv_udp_try_send(&fr->udp, &buf, 1, (struct sockaddr *)&addr);
 	met_add(&fr->metrics, MET_CONTROL_BYTES, bytes.len);
+}
+
+static void on_send(void *ctx, struct gb_str address,
+		    const struct mem_message *message)
+{
+	struct gb_buf bytes = GB_BUF_INIT;
+
+	wire_member_encode(message, &bytes);
+	fr_member_send(ctx, address, gb_buf_str(&bytes));
 	gb_buf_free(&bytes);
 }
 
--- a/packages/node/nd-internal.h
+++ b/packages/node/nd-internal.h
@@ -20,6 +20,9 @@
 
 #include <glib.h>
 
+/* Crashes after which a request is quarantined. */
+#define ND_CRASHES_MAX 2
+
 /* State of a service that outlives configuration versions. */
 struct nd_service {
 	struct gb_str name; /* owned */
--- a/packages/node/nd-node.c
+++ b/packages/node/nd-node.c
@@ -62,7 +62,7 @@
 			settings->drift);
 	node->voter =
 		once_voter_new(settings->key_retention, settings->clock_skew);
-	node->suspects = sus_new(SUSPECTS_MAX, QUARANTINE);
+	node->suspects = sus_new(SUSPECTS_MAX, ND_CRASHES_MAX, QUARANTINE);
 	node->services = g_ptr_array_new();
 	node->shards = g_ptr_array_new();
 	node->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
--- a/packages/node/nd-owner.c
+++ b/packages/node/nd-owner.c
@@ -112,8 +112,8 @@
 
 	(void)shard;
 	nd_event_plain(node,
-		       crashes >= SUS_CRASHES_MAX ? EV_SUSPECT_QUARANTINED
-						  : EV_SUSPECT_CRASH,
+		       crashes >= ND_CRASHES_MAX ? EV_SUSPECT_QUARANTINED
+						 : EV_SUSPECT_CRASH,
 		       (int64_t)fingerprint, crashes);
 	nd_send_all(node, &msg);
 }
--- a/packages/shard/tests/shard-world.h
+++ b/packages/shard/tests/shard-world.h
@@ -57,7 +57,7 @@
 		cfg_add_replica(shard, s, GB_STR("127.0.0.1"))->dc = i % 2;
 	}
 	shd_service_init(&w->shared, service);
-	w->suspects = sus_new(1000, 600 * GB_SEC);
+	w->suspects = sus_new(1000, 2, 600 * GB_SEC);
 	w->shard = shd_new(0, 0, &w->shared, w->suspects, &w->metrics, shd_ops,
 			   ctx);
 	shd_follow(w->shard, w->now, w->cfg);
--- a/packages/suspect/sus.c
+++ b/packages/suspect/sus.c
@@ -2,10 +2,15 @@
 
 #include <glib.h>
 
+/* Doublings stop there. */
+#define QUARANTINE_MAX (600 * GB_SEC)
+#define DOUBLINGS_MAX 10
+
 struct entry {
 	uint64_t fingerprint;
 	enum sus_state state;
 	uint32_t crashes;
+	gb_time crashed_at; /* the last one */
 	gb_time until; /* end of the quarantine */
 	GList link; /* in good or in others, oldest first */
 };
@@ -15,6 +20,7 @@
 	GQueue good;
 	GQueue others;
 	size_t entries_max;
+	uint32_t crashes_max; /* after which a request is quarantined */
 	gb_time quarantine;
 };
 
@@ -29,7 +35,8 @@
 static void quarantine(struct sus_table *table, gb_time now,
 		       struct entry *entry);
 
-struct sus_table *sus_new(size_t entries_max, gb_time quarantine_time)
+struct sus_table *sus_new(size_t entries_max, uint32_t crashes_max,
+			  gb_time quarantine_time)
 {
 	struct sus_table *table = g_new0(struct sus_table, 1);
 
@@ -38,6 +45,7 @@
 	g_queue_init(&table->good);
 	g_queue_init(&table->others);
 	table->entries_max = MAX(entries_max, 1);
+	table->crashes_max = crashes_max;
 	table->quarantine = quarantine_time;
 	return table;
 }
@@ -114,12 +122,25 @@
 static void quarantine(struct sus_table *table, gb_time now,
 		       struct entry *entry)
 {
-	entry->until = table->quarantine < GB_NEVER - now
-			       ? now + table->quarantine
-			       : GB_NEVER;
+	uint32_t further =
+		MIN(entry->crashes - table->crashes_max, DOUBLINGS_MAX);
+	gb_time most = MAX(table->quarantine, QUARANTINE_MAX);
+
+	entry->until = now + MIN(table->quarantine << further, most);
 	set_state(table, entry, SUS_QUARANTINED);
 }
 
+static void set_crashes(struct sus_table *table, gb_time now,
+			struct entry *entry, uint32_t crashes)
+{
+	entry->crashes = crashes;
+	entry->crashed_at = now;
+	if (crashes >= table->crashes_max)
+		quarantine(table, now, entry);
+	else
+		set_state(table, entry, SUS_SUSPECT);
+}
+
 enum sus_state sus_state(const struct sus_table *table, gb_time now,
 			 uint64_t fingerprint)
 {
@@ -165,14 +186,29 @@
 {
 	struct entry *entry = obtain(table, fingerprint);
 
-	entry->crashes++;
-	if (entry->crashes >= SUS_CRASHES_MAX)
-		quarantine(table, now, entry);
-	else
-		set_state(table, entry, SUS_SUSPECT);
+	set_crashes(table, now, entry, entry->crashes + 1);
 	return entry->state;
 }
 
+bool sus_lost(struct sus_table *table, gb_time now, uint64_t fingerprint,
+	      gb_time sent_at)
+{
+	const struct entry *entry = find(table, fingerprint);
+
+	if (entry && sent_at < entry->crashed_at)
+		return false;
+	sus_crash(table, now, fingerprint);
+	return true;
+}
+
+void sus_clear(struct sus_table *table, uint64_t fingerprint)
+{
+	struct entry *entry = find(table, fingerprint);
+
+	if (entry)
+		drop(table, entry);
+}
+
 void sus_abandon(struct sus_table *table, uint64_t fingerprint)
 {
 	struct entry *entry = find(table, fingerprint);
@@ -185,19 +221,13 @@
 		drop(table, entry);
 }
 
-void sus_learn(struct sus_table *table, gb_time now, uint64_t fingerprint,
+bool sus_learn(struct sus_table *table, gb_time now, uint64_t fingerprint,
 	       uint32_t crashes)
 {
-	struct entry *entry;
-
 	if (!crashes || crashes <= sus_crashes(table, fingerprint))
-		return;
-	entry = obtain(table, fingerprint);
-	entry->crashes = crashes;
-	if (crashes >= SUS_CRASHES_MAX)
-		quarantine(table, now, entry);
-	else
-		set_state(table, entry, SUS_SUSPECT);
+		return false;
+	set_crashes(table, now, obtain(table, fingerprint), crashes);
+	return true;
 }
 
 void sus_each(const struct sus_table *table,
--- a/packages/suspect/tests/suspect-test.c
+++ b/packages/suspect/tests/suspect-test.c
@@ -31,6 +31,7 @@
 	(void)out;
 	sus_free(c->table);
 	c->table = sus_new(scr_int(args, GB_STR("max"), 100),
+			   scr_int(args, GB_STR("crashes"), 2),
 			   scr_int(args, GB_STR("quarantine"), 1000));
 }
 
@@ -50,6 +51,10 @@
 			sus_success(t, now, fp);
 		else if (gb_str_eq(word, GB_STR("crash")))
 			sus_crash(t, now, fp);
+		else if (gb_str_starts_with(word, GB_STR("sent")))
+			sus_lost(t, now, fp, scr_int(args, GB_STR("sent"), 0));
+		else if (gb_str_eq(word, GB_STR("clear")))
+			sus_clear(t, fp);
 		else if (gb_str_eq(word, GB_STR("abandon")))
 			sus_abandon(t, fp);
 		else if (gb_str_starts_with(word, GB_STR("learn")))
