member: a reader in each data centre, which the VMs there ask first

Change: up to 64 VMs the readers are the first one of each data centre and the first two of all, as it was with two of each above that. Who reads is a rule of the member package now, and choosing among members has a file of its own.

--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -1,21 +1,5 @@
 #include "front/fr-internal.h"
 
-/*
- * Up to this number of VMs each follows the store. In a larger tier a few do,
- * chosen by rendezvous hashing, and the others follow one of those, so that
- * the calls to the store do not grow with the tier.
- */
-#define DIRECT_VMS 8
-#define READERS 3
-
-/*
- * In a tier of more VMs than this, each data centre has readers of its own,
- * since what the others read would cross data centres once for each VM.
- */
-#define SHARED_READERS_VMS 64
-#define READERS_PER_DC 2
-#define READERS_KEY 0x726561646572ull
-
 /* After the start, until others that started as well are known. */
 #define LOOK_AROUND (300 * GB_MSEC)
 
@@ -58,32 +42,15 @@
 /* A VM that runs answers sooner, or refuses the connection. */
 #define SILENT_AFTER (150 * GB_MSEC)
 
-/* Among whom readers are chosen, and how many. */
-struct readers {
-	enum mem_scope scope;
-	uint32_t ranks;
-};
-
-static struct readers readers_of(const struct fr *fr)
-{
-	if (mem_live(fr->members) > SHARED_READERS_VMS)
-		return (struct readers){ MEM_SAME_DC, READERS_PER_DC };
-	return (struct readers){ MEM_ALL, READERS };
-}
-
 /*
  * A VM that starts does not know the others yet; all of them may start at
  * once, so just the seeds ask the store, and the others the seeds.
  */
 static bool is_reader(const struct fr *fr, gb_time now)
 {
-	struct readers readers = readers_of(fr);
-
 	if (now - fr->started < LOOK_AROUND)
 		return fr_is_seed(fr) || !fr->settings.seeds.len;
-	return mem_live(fr->members) <= DIRECT_VMS ||
-	       mem_rank(fr->members, readers.scope, READERS_KEY) <
-		       readers.ranks;
+	return mem_is_reader(fr->members);
 }
 
 /* The control address of a VM has the same port on all of them. */
@@ -124,27 +91,29 @@
 	return peer;
 }
 
+static bool is_avoided(const struct fr_peer *peer, gb_time now)
+{
+	return !peer || peer->avoid_until > now;
+}
+
 /*
- * A VM that follows the store, or any VM where those cannot be told apart;
- * if there is one, one that did not fail lately.
+ * A reader of this data centre, or else another one; if there is one, one that
+ * did not fail lately.
  */
 static struct fr_peer *choose_peer(struct fr *fr, gb_time now)
 {
-	bool few = mem_live(fr->members) <= DIRECT_VMS;
-	struct readers readers = readers_of(fr);
 	struct fr_peer *peer = NULL;
 	struct gb_str member;
 
 	if (!fr->settings.control.len)
 		return NULL;
-	for (int i = 0; i < DRAWS; i++) {
-		if (!mem_pick(fr->members, readers.scope, READERS_KEY,
-			      few ? 0 : readers.ranks, &member) &&
+	if (mem_pick_reader(fr->members, MEM_SAME_DC, &member))
+		peer = fr_find_peer(fr, member);
+	for (int i = 0; i < DRAWS && is_avoided(peer, now); i++) {
+		if (!mem_pick_reader(fr->members, MEM_ALL, &member) &&
 		    !mem_pick_seed(fr->members, &member))
 			return NULL;
 		peer = fr_find_peer(fr, member);
-		if (peer && peer->avoid_until <= now)
-			return peer;
 	}
 	return peer;
 }
@@ -193,7 +162,7 @@
 	follow->hint = NULL;
 	follow->peer = peer;
 	follow->at_store = !peer;
-	if (follow->at_store && mem_live(fr->members) <= DIRECT_VMS)
+	if (follow->at_store && mem_all_read(fr->members))
 		wait = WAIT_ALONE;
 	dir_begin(&follow->follower, wait);
 	return peer ? peer->target : store_target(fr);
--- a/packages/member/mem-internal.h
+++ b/packages/member/mem-internal.h
@@ -6,9 +6,10 @@
  *	mem-internal - the members that a table holds, within the package
  *
  * DESCRIPTION
- *	mem-table.c holds the members and what they count for, mem-row.c
- *	takes and chooses the rows of messages, and mem-probe.c pings and
- *	answers. Calls go in the opposite direction.
+ *	mem-table.c holds the members and what they count for, mem-pick.c
+ *	chooses among them and mem-reader.c those that follow the store;
+ *	mem-row.c takes and chooses the rows of messages, and mem-probe.c
+ *	pings and answers. Calls go in the opposite direction.
  */
 
 #include "member/mem.h"
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -18,7 +18,7 @@
  *	a digest of the live members; where it differs from that of the other
  *	side, the answer is filled with rows of the members in question, so
  *	that what got lost is made up for. A VM that knows less than half of
- *what the other knows gets several answers.
+ *	what the other knows gets several answers.
  *
  *	No vote is taken: the table only serves to divide limits that all VMs
  *	share and to choose among them, and each VM stays within its part if
@@ -125,6 +125,20 @@
 bool mem_pick(const struct mem_table *table, enum mem_scope scope, uint64_t key,
 	      uint32_t ranks, struct gb_str *address);
 
+/*
+ * VMs that follow the store, so that others can follow them and the calls to
+ * the store do not grow with the tier. They are chosen by rendezvous hashing,
+ * in each data centre and among all.
+ */
+bool mem_is_reader(const struct mem_table *table);
+
+/* Tells whether the tier is so small that each VM is a reader. */
+bool mem_all_read(const struct mem_table *table);
+
+/* A random reader of this data centre, or one of the first of all. */
+bool mem_pick_reader(const struct mem_table *table, enum mem_scope scope,
+		     struct gb_str *address);
+
 /* A random seed; false if there is none. */
 bool mem_pick_seed(const struct mem_table *table, struct gb_str *address);
 
--- a/packages/member/tests/member-test.c
+++ b/packages/member/tests/member-test.c
@@ -216,6 +216,29 @@
 		    (long long)bad);
 }
 
+/* Readers of the tier, and VMs that are to ask one of another data centre. */
+static void cmd_readers(void *data, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	uint32_t readers = 0, far = 0;
+	struct ctx *ctx = data;
+
+	(void)args;
+	for (uint32_t i = 0; i < ctx->len; i++) {
+		const struct vm *vm = ctx->vm[i];
+		struct gb_str address;
+
+		if (vm->cut || vm->paused)
+			continue;
+		if (mem_is_reader(vm->table))
+			readers++;
+		else if (!mem_pick_reader(vm->table, MEM_SAME_DC, &address))
+			far++;
+	}
+	gb_buf_addf(out, "%u readers, %u VMs without one in their dc\n",
+		    readers, far);
+}
+
 /* VMs of the first ranks for one key, by data centre and among all. */
 static void cmd_first(void *data, const struct scr_args *args,
 		      struct gb_buf *out)
@@ -260,6 +283,7 @@
 		{ GB_STR_INIT("show"), cmd_show },
 		{ GB_STR_INIT("ranks"), cmd_ranks },
 		{ GB_STR_INIT("first"), cmd_first },
+		{ GB_STR_INIT("readers"), cmd_readers },
 		{ GB_STR_INIT("bytes"), cmd_bytes },
 	};
 	static const struct scr_suite suite = {
