daemon, bench: one parser of addresses, one clock, one writer of files

gd_address() and ht_address() parsed the same hosts, gd_now() and ht_now() read the same clock, and two benches wrote files in the same way.

--- a/bench/daemon-front.c
+++ b/bench/daemon-front.c
@@ -18,16 +18,6 @@
 	uint16_t upstream_port; /* of the first upstream; the others follow */
 };
 
-static char *write_file(const struct bdm_front *front, const char *name,
-			const struct gb_buf *text)
-{
-	char *path = g_build_filename(front->dir, name, NULL);
-
-	if (!g_file_set_contents(path, text->ptr, text->len, NULL))
-		g_error("cannot write %s", path);
-	return path;
-}
-
 static void start_emulator(struct bdm_front *front,
 			   const struct bdm_front_options *options)
 {
@@ -46,7 +36,7 @@
 		    "0 config\n1 load rate=%u for=60\n"
 		    "60 expect\n",
 		    options->shards, SINGLES, options->rate);
-	file = write_file(front, "script", &text);
+	file = bdm_write_file(front->dir, "script", &text);
 	argv[7] = file;
 	front->emulator = bdm_start(argv);
 	gb_buf_free(&text);
@@ -72,7 +62,7 @@
 		    "member_port = %u\n[platform]\naddress = " BDM_HOST ":%u\n",
 		    front->port[0], front->port[1], front->port[2],
 		    front->port[2], front->port[1], front->port[3]);
-	file = write_file(front, "vm.ini", &text);
+	file = bdm_write_file(front->dir, "vm.ini", &text);
 	argv[2] = file;
 	front->vm = bdm_start(argv);
 	gb_buf_free(&text);
--- a/bench/daemon-process.c
+++ b/bench/daemon-process.c
@@ -13,6 +13,16 @@
 #define PORT_FIRST 10000
 #define PORT_END 32000
 
+char *bdm_write_file(const char *dir, const char *name,
+		     const struct gb_buf *text)
+{
+	char *path = g_build_filename(dir, name, NULL);
+
+	if (!g_file_set_contents(path, text->ptr, text->len, NULL))
+		g_error("cannot write %s", path);
+	return path;
+}
+
 static bool port_is_free(uint16_t port);
 static uint64_t proc_field(pid_t pid, const char *file, const char *name);
 
--- a/bench/daemon-tier.c
+++ b/bench/daemon-tier.c
@@ -14,8 +14,6 @@
 #define READY_TRIES 300
 #define READY_PAUSE_US 50000
 
-static char *write_file(const struct bdm_tier *tier, const char *name,
-			const struct gb_buf *text);
 static char *program(const struct bdm_tier *tier, const char *name);
 static char *write_records(const struct bdm_tier *tier, uint64_t *docs);
 static void put_config(const struct bdm_tier *tier, const uint64_t *docs);
@@ -31,16 +29,6 @@
 	return g_build_filename(tier->options.build, name, NULL);
 }
 
-static char *write_file(const struct bdm_tier *tier, const char *name,
-			const struct gb_buf *text)
-{
-	char *path = g_build_filename(tier->dir, name, NULL);
-
-	if (!g_file_set_contents(path, text->ptr, text->len, NULL))
-		g_error("cannot write %s", path);
-	return path;
-}
-
 /* Writes lines that all match the lookup; docs gets the lines per shard. */
 static char *write_records(const struct bdm_tier *tier, uint64_t *docs)
 {
@@ -60,7 +48,7 @@
 		gb_buf_add(&text, s);
 		gb_buf_addc(&text, '\n');
 	}
-	path = write_file(tier, "records", &text);
+	path = bdm_write_file(tier->dir, "records", &text);
 	gb_buf_free(&text);
 	return path;
 }
@@ -174,7 +162,7 @@
 			    tier->peer_port[i]);
 	gb_buf_addc(&text, '\n');
 	g_snprintf(name, sizeof(name), "vm%u.ini", index + 1);
-	file = write_file(tier, name, &text);
+	file = bdm_write_file(tier->dir, name, &text);
 	argv[2] = file;
 	tier->daemon[index] = bdm_start(argv);
 	gb_buf_free(&text);
--- a/bench/daemon.h
+++ b/bench/daemon.h
@@ -33,6 +33,10 @@
 	uint64_t wakeups; /* times that the process had to wait */
 };
 
+/* Writes a file in the folder; returns its path, to be freed. */
+char *bdm_write_file(const char *dir, const char *name,
+		     const struct gb_buf *text);
+
 /* Starts a program; its output is dropped. The array ends with NULL. */
 pid_t bdm_start(char *const *argv);
 
--- a/packages/daemon/gd-client.c
+++ b/packages/daemon/gd-client.c
@@ -52,7 +52,7 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		struct gd_endpoint *endpoint = key;
 
-		ht_target_expire(endpoint->target, gd_now());
+		ht_target_expire(endpoint->target, ht_now());
 	}
 }
 
--- a/packages/daemon/gd-conn.c
+++ b/packages/daemon/gd-conn.c
@@ -8,5 +8,5 @@
 
 void gd_http_answered(const h2o_req_t *req)
 {
-	gd_conn_of(req)->answered_at = gd_now();
+	gd_conn_of(req)->answered_at = ht_now();
 }
--- a/packages/daemon/gd-http.c
+++ b/packages/daemon/gd-http.c
@@ -30,7 +30,6 @@
 	struct sockaddr_storage addr;
 	h2o_pathconf_t *path;
 	struct handler *handler;
-	socklen_t len;
 	int ret;
 
 	h2o_linklist_init_anchor(&http->conns);
@@ -57,7 +56,7 @@
 	uv_timer_start(&http->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 	uv_tcp_init(gd->uv, &http->listener);
 	http->listener.data = gd;
-	if (gd_address(gd->settings.host, gd->settings.http_port, &addr, &len))
+	if (ht_host_address(gd->settings.host, gd->settings.http_port, &addr))
 		return UV_EINVAL;
 	ret = uv_tcp_bind(&http->listener, (struct sockaddr *)&addr, 0);
 	if (!ret)
@@ -77,7 +76,7 @@
 		return;
 	conn = g_new0(struct gd_conn, 1);
 	conn->gd = gd;
-	conn->opened_at = gd_now();
+	conn->opened_at = ht_now();
 	h2o_linklist_insert(&http->conns, &conn->link);
 	met_set(&gd->metrics, MET_CONNECTIONS, ++http->conns_len);
 	uv_tcp_init(gd->uv, &conn->tcp);
@@ -102,7 +101,7 @@
 {
 	struct gd *gd = timer->data;
 	h2o_linklist_t *anchor = &gd->http.conns;
-	gb_time before = gd_now() - gd->settings.http_idle;
+	gb_time before = ht_now() - gd->settings.http_idle;
 
 	for (h2o_linklist_t *at = anchor->next; at != anchor; at = at->next) {
 		struct gd_conn *conn =
@@ -194,7 +193,7 @@
 bool gd_http_drain(struct gd *gd)
 {
 	h2o_linklist_t *anchor = &gd->http.conns;
-	gb_time now = gd_now();
+	gb_time now = ht_now();
 
 	for (h2o_linklist_t *at = anchor->next; at != anchor; at = at->next) {
 		struct gd_conn *conn =
--- a/packages/daemon/gd-loop.c
+++ b/packages/daemon/gd-loop.c
@@ -61,7 +61,7 @@
 static void arm_tick(struct gd *gd)
 {
 	gb_time next = nd_next_tick(gd->node);
-	gb_time now = gd_now();
+	gb_time now = ht_now();
 
 	if (gd->phase != GD_RUNNING)
 		next = MIN(next, now + STOP_POLL);
@@ -80,14 +80,14 @@
 	if (gd->phase != GD_RUNNING)
 		return;
 	gd->phase = GD_STOPPING;
-	gd->loop.stop_begin = gd_now();
+	gd->loop.stop_begin = ht_now();
 	nd_shutdown(gd->node, gd_clock());
 }
 
 /* Moves the stop on when the node, the callers and the peers allow it. */
 static void stop_step(struct gd *gd, bool peers_idle)
 {
-	gb_time now = gd_now();
+	gb_time now = ht_now();
 
 	if (gd->phase == GD_STOPPING) {
 		if (!nd_stopped(gd->node) ||
--- a/packages/daemon/gd-peer.c
+++ b/packages/daemon/gd-peer.c
@@ -79,13 +79,12 @@
 {
 	struct gd_peers *peers = &gd->peers;
 	struct sockaddr_storage addr;
-	socklen_t len;
 	int ret;
 
 	peers->peers = g_hash_table_new(g_direct_hash, g_direct_equal);
 	uv_tcp_init(gd->uv, &peers->listener);
 	peers->listener.data = gd;
-	if (gd_address(gd->settings.host, gd->settings.peer_port, &addr, &len))
+	if (ht_host_address(gd->settings.host, gd->settings.peer_port, &addr))
 		return UV_EINVAL;
 	ret = uv_tcp_bind(&peers->listener, (struct sockaddr *)&addr, 0);
 	if (ret)
@@ -115,15 +114,14 @@
 	struct set_settings *settings = &gd->settings;
 	const struct cfg *cfg = nd_config(gd->node);
 	int index = cfg ? cfg_find_vm(cfg, vm) : -1;
-	socklen_t len;
 
 	if (index >= 0)
-		return gd_address(cfg_vm(cfg, index)->host,
-				  cfg_vm(cfg, index)->peer_port, addr, &len);
+		return ht_host_address(cfg_vm(cfg, index)->host,
+				       cfg_vm(cfg, index)->peer_port, addr);
 	for (uint32_t i = 0; i < settings->node.seeds_len; i++)
 		if (settings->seeds[i].vm == vm)
-			return gd_address(settings->seeds[i].host,
-					  settings->seeds[i].port, addr, &len);
+			return ht_host_address(settings->seeds[i].host,
+					       settings->seeds[i].port, addr);
 	return -1;
 }
 
@@ -146,7 +144,7 @@
 	}
 	peer = peer_get(gd, vm);
 	if (peer->state == PEER_CONNECTING &&
-	    gd_now() >= peer->connect_begin + CONNECT_MAX)
+	    ht_now() >= peer->connect_begin + CONNECT_MAX)
 		peer_drop(peer, UV_ETIMEDOUT);
 	if (peer->state == PEER_IDLE)
 		peer_connect(peer);
@@ -174,7 +172,7 @@
 {
 	struct sockaddr_storage addr;
 	struct gd_peer_conn *conn;
-	gb_time now = gd_now();
+	gb_time now = ht_now();
 
 	if (now < peer->not_before || peer_address(peer->gd, peer->vm, &addr))
 		return;
@@ -195,7 +193,7 @@
 static void peer_drop(struct gd_peer *peer, int error)
 {
 	peer->backoff = CLAMP(peer->backoff * 2, BACKOFF_MIN, BACKOFF_MAX);
-	peer->not_before = gd_now() + peer->backoff;
+	peer->not_before = ht_now() + peer->backoff;
 	if (peer->state == PEER_OPEN)
 		gd_event(peer->gd, EV_PEER_LOST, GB_STR(""), GB_STR(""),
 			 peer->vm, error);
--- a/packages/daemon/gd-upstream.c
+++ b/packages/daemon/gd-upstream.c
@@ -159,7 +159,7 @@
 	call->gd = gd;
 	call->call = *request;
 	copy_strings(call);
-	call->deadline = gd_now() + request->timeout;
+	call->deadline = ht_now() + request->timeout;
 	call->result.call = request->call;
 	call->result.shard = request->shard;
 	endpoint = gd_endpoint(gd, request->host, request->port,
@@ -209,7 +209,7 @@
 {
 	struct gd_upstream_call *call = (struct gd_upstream_call *)x;
 	const struct nd_upstream_call *request = &call->call;
-	gb_time now = gd_now();
+	gb_time now = ht_now();
 
 	if (now >= request->expires || now >= call->deadline)
 		return false;
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -96,7 +96,6 @@
  * LOOP
  */
 struct nd_clock gd_clock(void);
-gb_time gd_now(void);
 void gd_loop_init(struct gd *gd);
 
 /* Runs a function once at the end of the loop turn. */
@@ -106,10 +105,6 @@
 /* Begins the graceful stop; the loop ends when all work is done. */
 void gd_stop(struct gd *gd);
 
-/* Makes a socket address of a numeric host. */
-int gd_address(struct gb_str host, uint16_t port, struct sockaddr_storage *addr,
-	       socklen_t *len);
-
 /*
  * LOG AND EVENTS
  */
--- a/packages/http/ht-server.h
+++ b/packages/http/ht-server.h
@@ -85,7 +85,11 @@
 /* Closes the connections that run no exchange and hold no bytes. */
 void ht_server_close_idle(struct ht_server *server);
 
-/* Parses "ADDRESS:PORT"; returns 0 or -1. */
+/* Makes a socket address of a numeric host; returns 0 or -1. */
+int ht_host_address(struct gb_str host, uint16_t port,
+		    struct sockaddr_storage *addr);
+
+/* The same for "ADDRESS:PORT". */
 int ht_address(struct gb_str text, struct sockaddr_storage *addr);
 
 /* Monotonic time. */
