member: seeds are walked once, and a digest is summed once an answer

The table leaves this VM's own address out of its seeds, so it can tell whether the VM is one; fr_is_seed() walked the settings again. answer() summed all members for each of up to 8 datagrams. No behaviour changes.

--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -127,9 +127,6 @@
 int fr_member_start(struct fr *fr);
 void fr_member_tick(struct fr *fr);
 
-/* Tells whether this VM is one of those that all know from the start. */
-bool fr_is_seed(const struct fr *fr);
-
 /* Sends a datagram to a member; one that gets lost is not sent again. */
 void fr_member_send(struct fr *fr, struct gb_str member, struct gb_str bytes);
 
--- a/packages/front/fr-member.c
+++ b/packages/front/fr-member.c
@@ -103,19 +103,6 @@
 	met_set(&fr->metrics, MET_MEMBERS_LIVE, mem_live(fr->members));
 }
 
-bool fr_is_seed(const struct fr *fr)
-{
-	struct gb_str rest = fr->settings.seeds, seed;
-	bool more = rest.len > 0;
-
-	while (more) {
-		more = gb_str_cut(&rest, ',', &seed);
-		if (gb_str_eq(gb_str_trim(seed), fr->settings.control))
-			return true;
-	}
-	return false;
-}
-
 int fr_member_start(struct fr *fr)
 {
 	struct gb_buf own = GB_BUF_INIT;
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -49,7 +49,7 @@
 static bool is_reader(const struct fr *fr, gb_time now)
 {
 	if (now - fr->started < LOOK_AROUND)
-		return fr_is_seed(fr) || !fr->settings.seeds.len;
+		return mem_is_seed(fr->members) || !fr->settings.seeds.len;
 	return mem_is_reader(fr->members);
 }
 
--- a/packages/member/mem-internal.h
+++ b/packages/member/mem-internal.h
@@ -34,6 +34,7 @@
 	GPtrArray *members; /* of struct mem_member, without this VM */
 	GHashTable *by_address; /* address to struct mem_member */
 	GPtrArray *seeds; /* of struct mem_row; only the address is used */
+	bool is_seed; /* this VM is one as well, and not among them */
 	guint next; /* in members, to be pinged */
 	uint32_t heard_live; /* most that another VM took for live */
 };
@@ -62,7 +63,7 @@
 
 /* Begins a message with this VM's row and adds news. */
 void mem_begin(struct mem_table *table, enum mem_kind kind,
-	       struct mem_message *message);
+	       const struct mem_digest *digest, struct mem_message *message);
 
 /*
  * Adds rows of members in a set of buckets, from a place on; returns where it
--- a/packages/member/mem-pick.c
+++ b/packages/member/mem-pick.c
@@ -76,6 +76,11 @@
 	return true;
 }
 
+bool mem_is_seed(const struct mem_table *table)
+{
+	return table->is_seed;
+}
+
 bool mem_pick_seed(const struct mem_table *table, struct gb_str *address)
 {
 	if (!table->seeds->len)
--- a/packages/member/mem-probe.c
+++ b/packages/member/mem-probe.c
@@ -48,8 +48,10 @@
 static void ping(struct mem_table *table, struct gb_str address)
 {
 	struct mem_message message;
+	struct mem_digest digest;
 
-	mem_begin(table, MEM_PING, &message);
+	mem_digest(table, &digest);
+	mem_begin(table, MEM_PING, &digest, &message);
 	table->ops->send(table->ctx, address, &message);
 }
 
@@ -155,7 +157,7 @@
 	for (uint32_t i = 0; i < answers; i++) {
 		struct mem_message out;
 
-		mem_begin(table, MEM_ANSWER, &out);
+		mem_begin(table, MEM_ANSWER, &own, &out);
 		if (!i)
 			add_sender(&out, sender);
 		if (buckets)
--- a/packages/member/mem-row.c
+++ b/packages/member/mem-row.c
@@ -105,13 +105,13 @@
 }
 
 void mem_begin(struct mem_table *table, enum mem_kind kind,
-	       struct mem_message *message)
+	       const struct mem_digest *digest, struct mem_message *message)
 {
 	struct mem_member *news;
 
 	message->kind = kind;
 	message->live = mem_live(table);
-	mem_digest(table, &message->digest);
+	message->digest = *digest;
 	message->synced = table->synced;
 	message->rows[0] = table->own;
 	message->len = 1;
--- a/packages/member/mem-table.c
+++ b/packages/member/mem-table.c
@@ -62,8 +62,12 @@
 {
 	struct mem_row *seed;
 
-	if (!address.len || gb_str_eq(address, mem_address(&table->own)))
+	if (!address.len)
 		return;
+	if (gb_str_eq(address, mem_address(&table->own))) {
+		table->is_seed = true;
+		return;
+	}
 	seed = g_new0(struct mem_row, 1);
 	set_address(seed, address);
 	g_ptr_array_add(table->seeds, seed);
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -139,6 +139,9 @@
 bool mem_pick_reader(const struct mem_table *table, enum mem_scope scope,
 		     struct gb_str *address);
 
+/* Tells whether this VM is one of those that all know from the start. */
+bool mem_is_seed(const struct mem_table *table);
+
 /* A random seed; false if there is none. */
 bool mem_pick_seed(const struct mem_table *table, struct gb_str *address);
 
