front: a body that cannot be read counts against its source

Cause: an answer with status 200 whose body breaks off counted as a good one: its source was asked again, and no directory_lost was logged. What the body held up to the break stayed in the mirror and was told to other VMs after the next list, as if it were news.

Change: such an answer is a failure of its source; a list clears what was held back. mirror/broken was red before, emulator/garbled passes before and after.

--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -159,26 +159,25 @@
 	fr_event(follow->fr, &event);
 }
 
-static void take_list(struct fr_follow *follow)
+static int take_list(struct fr_follow *follow)
 {
 	struct fr_page page = { .least = follow->follower.revision };
-	gb_time now = ht_now();
 
 	begin_list(follow);
 	if (follow->fr->platform->read_list(follow->kind,
 					    gb_buf_str(&follow->call.body),
-					    &sink, follow->fr, &page)) {
-		dir_failed(&follow->follower, now, !follow->at_store);
-		return;
-	}
+					    &sink, follow->fr, &page))
+		return -1;
 	end_list(follow, &page);
-	dir_listed(&follow->follower, now, page.revision, page.more, page.last);
+	dir_listed(&follow->follower, ht_now(), page.revision, page.more,
+		   page.last);
 	if (!page.more)
 		mir_list_end(follow->mirror, follow->follower.revision);
 	gb_str_free(&page.last);
+	return 0;
 }
 
-static void take_changes(struct fr_follow *follow)
+static int take_changes(struct fr_follow *follow)
 {
 	struct fr_page page = { 0 };
 	gb_time now = ht_now();
@@ -188,10 +187,19 @@
 					     &sink, follow->fr, &page)) {
 		/* Changes that cannot be read are found by a new list. */
 		dir_history_lost(&follow->follower, now);
-		return;
+		return -1;
 	}
 	dir_watched(&follow->follower, now, page.revision, page.objects);
 	mir_changes_end(follow->mirror, follow->follower.revision);
+	return 0;
+}
+
+/* Takes what the source answered; -1 for a body that cannot be read. */
+static int take(struct fr_follow *follow)
+{
+	if (follow->follower.step == DIR_LIST)
+		return take_list(follow);
+	return take_changes(follow);
 }
 
 static void tell_lost(struct fr_follow *follow)
@@ -261,27 +269,23 @@
 	}
 }
 
-/* Takes the answer of the store and waits for the next step. */
+/* Takes the answer of the source and waits for the next step. */
 static void finish(struct fr_follow *follow, enum ht_outcome outcome)
 {
 	gb_time since = follow->follower.failing_since;
 	bool answered = outcome == HT_ANSWERED;
+	bool is_history_lost = answered && follow->status == 410;
+	bool is_taken = answered && follow->status == 200 && !take(follow);
 
 	follow->running = false;
-	fr_note_source(
-		follow, answered,
-		answered && (follow->status == 200 || follow->status == 410));
-	if (answered && follow->status == 200) {
+	fr_note_source(follow, answered, is_taken || is_history_lost);
+	if (is_taken) {
 		tell_back(follow, since);
 		if (follow->at_store && !fr_is_synced(follow->fr))
 			ask_again(follow->fr);
 		follow->answered_at = ht_now();
-		if (follow->follower.step == DIR_LIST)
-			take_list(follow);
-		else
-			take_changes(follow);
 		fr_mirror_changed(follow);
-	} else if (answered && follow->status == 410) {
+	} else if (is_history_lost) {
 		tell_back(follow, since);
 		dir_history_lost(&follow->follower, ht_now());
 	} else {
--- a/packages/mirror/mir.c
+++ b/packages/mirror/mir.c
@@ -88,6 +88,8 @@
 	table->listing = false;
 	table->synced = true;
 	g_queue_clear_full(&table->changes, free_change);
+	/* What a body held that broke off is older than the list. */
+	g_queue_clear_full(&table->pending, unref);
 	g_hash_table_foreach_remove(table->objects, is_unlisted, NULL);
 	table->since = revision;
 	table->revision = revision;
--- a/packages/mirror/tests/mirror-test.c
+++ b/packages/mirror/tests/mirror-test.c
@@ -63,6 +63,14 @@
 	mir_changes_end(ctx->table, scr_int(args, GB_STR("rev"), 0));
 }
 
+/* Changes of a body that broke off: they are put, and never ended. */
+static void cmd_broken(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	(void)out;
+	put_all(data, args);
+}
+
 static void print(void *ctx, const struct mir_object *object)
 {
 	struct gb_buf *out = ctx;
@@ -129,6 +137,7 @@
 	static const struct scr_command commands[] = {
 		{ GB_STR_INIT("list"), cmd_list },
 		{ GB_STR_INIT("change"), cmd_change },
+		{ GB_STR_INIT("broken"), cmd_broken },
 		{ GB_STR_INIT("objects"), cmd_objects },
 		{ GB_STR_INIT("changes"), cmd_changes },
 		{ GB_STR_INIT("many"), cmd_many },
