--- a/packages/http/tests/client-test.c
+++ b/packages/http/tests/client-test.c
@@ -149,11 +149,52 @@
 		    ctx->target->open, ctx->target->idle.length);
 }
 
+/* Starts a call and withdraws it while its connection is being opened. */
+static void cmd_withdraw(void *data, const struct scr_args *args,
+			 struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	ht_call_start(&ctx->call, ctx->target, &call_ops);
+	ht_call_cancel(&ctx->call);
+	ctx->peer = accept(ctx->listener, NULL, NULL);
+	while (ctx->target->open && !ctx->target->idle.length)
+		uv_run(&ctx->loop, UV_RUN_ONCE);
+	gb_buf_addf(out, "open=%u idle=%u\n", ctx->target->open,
+		    ctx->target->idle.length);
+}
+
+/* Lets the idle connection rest, and the server end it unseen at last. */
+static void cmd_rest(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)out;
+	g_usleep(scr_int(args, GB_STR("ms"), 0) * 1000);
+	uv_update_time(&ctx->loop);
+	end_peer(ctx, false);
+}
+
+/* Tells whether an idle connection was found to have ended. */
+static void cmd_lost(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	gb_buf_addf(out, "lost=%d\n", ht_target_lost(ctx->target));
+}
+
 int main(int argc, char **argv)
 {
 	static const struct scr_command commands[] = {
 		{ GB_STR_INIT("call"), cmd_call },
 		{ GB_STR_INIT("answer"), cmd_answer },
+		{ GB_STR_INIT("withdraw"), cmd_withdraw },
+		{ GB_STR_INIT("rest"), cmd_rest },
+		{ GB_STR_INIT("lost"), cmd_lost },
 	};
 	static const struct scr_suite suite = {
 		.name = "http-client",
