--- a/packages/budget/bud.c
+++ b/packages/budget/bud.c
@@ -29,14 +29,15 @@
 	int64_t slots = MIN(window / GB_SEC + 1, BUD_SLOTS_MAX);
 	struct totals totals = { 0 };
 
-	for (int64_t i = 0; i < BUD_SLOTS_MAX; i++) {
-		const struct bud_slot *slot = &bud->slot[i];
+	for (int64_t age = 0; age < slots && age <= last; age++) {
+		const struct bud_slot *slot =
+			&bud->slot[(last - age) % BUD_SLOTS_MAX];
 
-		if (slot->second > last || slot->second <= last - slots)
+		if (slot->second != last - age)
 			continue;
 		totals.repeats += slot->repeats;
 		/* The oldest slot may lie outside of the span. */
-		if (slot->second > last - slots + 1)
+		if (age < slots - 1)
 			totals.requests += slot->requests;
 	}
 	return totals;
--- a/packages/route/tests/route-test.c
+++ b/packages/route/tests/route-test.c
@@ -30,7 +30,7 @@
 	ctx->draft = rt_table_new(scr_int(args, GB_STR("n"), 1));
 }
 
-/* route NAME HOST PREFIX SERVICE=WEIGHT... */
+/* route NAME HOST PREFIX SERVICE:WEIGHT... aim= priority= */
 static void cmd_route(void *data, const struct scr_args *args,
 		      struct gb_buf *out)
 {
@@ -39,6 +39,8 @@
 		.name = scr_word(args, 0),
 		.host = scr_word(args, 1),
 		.prefix = scr_word(args, 2),
+		.aim = scr_int(args, GB_STR("aim"), 0) * GB_MSEC,
+		.priority = scr_int(args, GB_STR("priority"), 0),
 		.share_min = scr_double(args, GB_STR("share"), 1),
 	};
 	struct rt_route *added = rt_add_route(ctx->draft, &route);
@@ -88,6 +90,18 @@
 		gb_buf_add(out, GB_STR("none\n"));
 }
 
+static void cmd_aims(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	const struct rt_route *route =
+		rt_find(ctx->draft, scr_word(args, 0), scr_word(args, 1));
+
+	gb_buf_addf(out, "least aim %lld ms, outranked %d\n",
+		    (long long)(rt_least_aim(route) / GB_MSEC),
+		    rt_is_outranked(route));
+}
+
 static void cmd_choose(void *data, const struct scr_args *args,
 		       struct gb_buf *out)
 {
@@ -125,6 +139,7 @@
 		{ GB_STR_INIT("route"), cmd_route },
 		{ GB_STR_INIT("take"), cmd_take },
 		{ GB_STR_INIT("find"), cmd_find },
+		{ GB_STR_INIT("aims"), cmd_aims },
 		{ GB_STR_INIT("choose"), cmd_choose },
 		{ GB_STR_INIT("parts"), cmd_parts },
 	};
