forward: second tries look for a free slot only while requests are delayed

Parts of upstreams with three calls without an answer were left out although they only paused.

Change: a free slot is asked for while requests of the kind are delayed; only upstreams of which nothing was heard for a second are left out, by their rank alone.

--- a/packages/fleet/fl-score.c
+++ b/packages/fleet/fl-score.c
@@ -26,7 +26,7 @@
 #define DOWN_MAX (600 * GB_MSEC)
 #define DOUBLINGS_MAX 5
 
-/* Calls in a row without an answer that make an upstream unresponsive. */
+/* Calls in a row without an answer that make an upstream silent. */
 #define ABANDONED_MAX 3
 
 /*
@@ -126,15 +126,10 @@
 	upstream->avoid_until = MAX(upstream->avoid_until, until);
 }
 
-bool fl_is_unresponsive(const struct fl_upstream *upstream, gb_time now)
-{
-	return upstream->abandoned >= ABANDONED_MAX &&
-	       upstream->avoid_until > now;
-}
-
 bool fl_is_silent(const struct fl_upstream *upstream, gb_time now)
 {
-	return fl_is_unresponsive(upstream, now) &&
+	return upstream->abandoned >= ABANDONED_MAX &&
+	       upstream->avoid_until > now &&
 	       now - upstream->heard_at > SILENCE_MAX;
 }
 
@@ -255,6 +250,13 @@
 	return upstream->avoid_until > now ? RANK_AVOIDED : RANK_GOOD;
 }
 
+static bool is_spare(const struct fl_upstream *upstream,
+		     const struct fl_need *need, enum rank at, gb_time now)
+{
+	return at == RANK_GOOD &&
+	       !(need->free_slot && fl_queued(upstream, now) > 0);
+}
+
 struct fl_upstream *fl_pick(struct fl_fleet *fleet, struct fl_service *service,
 			    const struct fl_need *need, gb_time now,
 			    gb_time *wait)
@@ -273,8 +275,7 @@
 			continue;
 		at = rank(fleet, upstream, now, wait);
 		if (at > best_rank || at == RANK_NONE ||
-		    (need->spare &&
-		     (at != RANK_GOOD || fl_queued(upstream, now) > 0)))
+		    (need->spare && !is_spare(upstream, need, at, now)))
 			continue;
 		sum = cost(fleet, upstream, need->usual, now);
 		if (best && at == best_rank && sum >= best_cost)
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -141,8 +141,8 @@
 	gb_time usual; /* time of this kind of request */
 	const struct fl_upstream *const *except;
 	size_t except_len;
-	/* A second try: only an upstream that does well, with a free slot. */
-	bool spare;
+	bool spare; /* a second try: only an upstream that does well */
+	bool free_slot; /* and, with spare, that has a free slot */
 };
 
 /*
@@ -194,12 +194,9 @@
 		 uint32_t waiting);
 
 /*
- * Tells whether several calls in a row had no answer, and none is to be
- * expected of the next one either.
+ * Tells whether several calls in a row had no answer, and nothing was heard of
+ * the upstream for longer than a slow one takes.
  */
-bool fl_is_unresponsive(const struct fl_upstream *upstream, gb_time now);
-
-/* The same, and nothing was heard of it for longer than a slow one takes. */
 bool fl_is_silent(const struct fl_upstream *upstream, gb_time now);
 
 /* Open connections to the upstream that this VM may have. */
--- a/packages/forward/fw-admit.c
+++ b/packages/forward/fw-admit.c
@@ -78,6 +78,13 @@
 	return admission->overload;
 }
 
+bool fw_is_pressed(const struct fw_request *request)
+{
+	const struct fw_admission *admission = &request->pace->admission;
+
+	return admission->overload || admission->since != GB_NEVER;
+}
+
 /* The most delay that lets all kinds of request be in time. */
 static gb_time most_delay(const struct fw_request *request, gb_time now)
 {
--- a/packages/forward/fw-internal.h
+++ b/packages/forward/fw-internal.h
@@ -38,6 +38,9 @@
 void fw_suspect(const struct fw_call *call, gb_time now);
 void fw_vouch(const struct fw_request *request);
 
+/* Tells whether requests of its kind are delayed, or were until just now. */
+bool fw_is_pressed(const struct fw_request *request);
+
 /*
  * Tells whether the request is to be refused, since the upstreams that were
  * chosen for its parts have too much to do; *delay is set to how much longer
--- a/packages/forward/fw-part.c
+++ b/packages/forward/fw-part.c
@@ -41,7 +41,9 @@
 	const struct fl_need need = { .usual = fw_usual(part->request),
 				      .except = tried,
 				      .except_len = part->calls_len,
-				      .spare = spare };
+				      .spare = spare,
+				      .free_slot =
+					      fw_is_pressed(part->request) };
 
 	for (uint32_t i = 0; i < part->calls_len; i++)
 		tried[i] = part->calls[i].upstream;
--- a/packages/forward/fw-request.c
+++ b/packages/forward/fw-request.c
@@ -81,26 +81,6 @@
 	return found;
 }
 
-/*
- * Leaves out the parts whose upstreams do not answer, if the others are enough:
- * the caller would wait for them until the aim. Returns the number that is
- * left.
- */
-static uint32_t drop_unresponsive(struct fl_upstream **chosen, uint32_t len,
-				  uint32_t found, uint32_t need, gb_time now)
-{
-	uint32_t dropped = 0;
-
-	for (uint32_t i = 0; i < len; i++)
-		dropped += chosen[i] && fl_is_unresponsive(chosen[i], now);
-	if (found - dropped < need)
-		return found;
-	for (uint32_t i = 0; i < len; i++)
-		if (chosen[i] && fl_is_unresponsive(chosen[i], now))
-			chosen[i] = NULL;
-	return found - dropped;
-}
-
 /* Sends each part that has an upstream, or refuses the request. */
 static void send_first(struct fw_request *request, gb_time now)
 {
@@ -109,10 +89,8 @@
 	uint32_t need =
 		request->route->fanout ? rt_parts_min(request->route) : 1;
 	gb_time wait;
-	uint32_t found = choose_all(request, chosen, now, &wait);
 
-	found = drop_unresponsive(chosen, request->parts_len, found, need, now);
-	if (found < need) {
+	if (choose_all(request, chosen, now, &wait) < need) {
 		/* It cannot be served, so nothing is sent and none is kept. */
 		fw_fail(request, FW_NO_UPSTREAM, wait, now);
 		goto out;
