fleet: silence counts from the first call that had no answer

Cause: an upstream with nothing to do for over a second counted as silent after three late calls in a row, such as one pause of 150 ms, since nothing had been heard of it. Found by reading.

--- a/packages/fleet/fl-fleet.c
+++ b/packages/fleet/fl-fleet.c
@@ -100,7 +100,6 @@
 	upstream->failures = 0;
 	upstream->avoid_until = 0;
 	upstream->abandoned = 0;
-	upstream->heard_at = 0;
 	upstream->down_until = 0;
 	upstream->unreachable = 0;
 	upstream->others = 0;
--- a/packages/fleet/fl-score.c
+++ b/packages/fleet/fl-score.c
@@ -83,7 +83,6 @@
 {
 	upstream->in_flight--;
 	upstream->abandoned = 0;
-	upstream->heard_at = now;
 	upstream->unreachable = 0;
 	upstream->avoid_until = 0;
 	upstream->down_until = 0;
@@ -94,7 +93,7 @@
 void fl_refused(struct fl_upstream *upstream, gb_time now)
 {
 	upstream->in_flight--;
-	upstream->heard_at = now;
+	upstream->silent_since = now;
 	upstream->unreachable = 0;
 	add_failure(upstream, now, 1);
 }
@@ -130,7 +129,7 @@
 {
 	return upstream->abandoned >= ABANDONED_MAX &&
 	       upstream->avoid_until > now &&
-	       now - upstream->heard_at > SILENCE_MAX;
+	       now - upstream->silent_since > SILENCE_MAX;
 }
 
 void fl_abandoned(struct fl_upstream *upstream, gb_time now, gb_time elapsed,
@@ -141,6 +140,8 @@
 	if (elapsed < usual + usual / 2)
 		return;
 	add_slow_sample(upstream, now, elapsed, usual);
+	if (!upstream->abandoned)
+		upstream->silent_since = now - elapsed;
 	upstream->avoid_until = now + avoid_time(upstream, usual);
 	upstream->abandoned++;
 }
@@ -290,8 +291,6 @@
 void fl_sent(struct fl_fleet *fleet, struct fl_upstream *upstream, gb_time now)
 {
 	upstream->in_flight++;
-	if (!upstream->heard_at)
-		upstream->heard_at = now;
 	if (upstream->cold_until > now)
 		fl_cold_take(fleet, upstream, now);
 }
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -74,7 +74,7 @@
 	gb_time failures_at;
 	gb_time avoid_until; /* since a call is or was overdue */
 	uint32_t abandoned; /* calls in a row without an answer */
-	gb_time heard_at; /* the last answer or refusal, or the first call */
+	gb_time silent_since; /* start of the first of those, or a refusal */
 	gb_time down_until; /* since it could not be reached */
 	uint32_t unreachable; /* connects in a row that failed */
 	double others; /* calls of other VMs, as it last reported */
