--- a/packages/forward/fw-settle.c
+++ b/packages/forward/fw-settle.c
@@ -101,7 +101,7 @@
 }
 
 /* Tells whether the part waits for silent upstreams only. */
-static bool is_hopeless(const struct fw_part *part, gb_time now)
+static bool waits_in_vain(const struct fw_part *part, gb_time now)
 {
 	if (part->state != FW_WAITING || !part->running)
 		return false;
@@ -120,7 +120,7 @@
 	if (!request->parts_missing)
 		return count;
 	for (uint32_t i = 0; i < request->parts_len; i++)
-		count -= is_hopeless(&request->parts[i], now);
+		count -= waits_in_vain(&request->parts[i], now);
 	return count;
 }
 
--- a/packages/forward/fw.h
+++ b/packages/forward/fw.h
@@ -137,7 +137,7 @@
 /* Whether more requests of one kind come than the upstreams can serve. */
 struct fw_admission {
 	bool overload;
-	gb_time since; /* the waits speak against the state since then */
+	gb_time since; /* delays contradict the state; GB_NEVER: they do not */
 };
 
 /* What was learned of one kind of request, over its upstreams. */
--- a/packages/forward/tests/forward-test.c
+++ b/packages/forward/tests/forward-test.c
@@ -1,4 +1,4 @@
-#include "forward/fw.h"
+#include "forward-ignore.h"
 #include "script/scr.h"
 
 #include <stdarg.h>
@@ -96,17 +96,6 @@
 	    reply->missing, (int)body.len, body.ptr);
 }
 
-static void on_event(void *ctx, enum ev_code code,
-		     const struct fw_request *request,
-		     const struct fl_upstream *upstream, struct gb_str detail)
-{
-	(void)ctx;
-	(void)code;
-	(void)request;
-	(void)upstream;
-	(void)detail;
-}
-
 static void on_crashed(void *data, uint64_t fingerprint, uint32_t crashes)
 {
 	struct ctx *ctx = data;
@@ -115,12 +104,6 @@
 	put(ctx, "tells other VMs of %u crashes", crashes);
 }
 
-static void on_forget(void *ctx, struct fl_upstream *upstream)
-{
-	(void)ctx;
-	(void)upstream;
-}
-
 static uint32_t vms(void *ctx)
 {
 	(void)ctx;
@@ -139,9 +122,9 @@
 	static const struct fw_ops ops = { .send = on_send,
 					   .cancel = on_cancel,
 					   .reply = on_reply,
-					   .event = on_event,
+					   .event = ignore_event,
 					   .crashed = on_crashed };
-	static const struct fl_ops fleet_ops = { .forget = on_forget };
+	static const struct fl_ops fleet_ops = { .forget = ignore_forget };
 	static const struct fl_share share = { .vms = vms, .rank = rank };
 	const struct fl_settings settings = { .dc = GB_STR_INIT("here"),
 					      .drain = 2800 * GB_MSEC };
--- a/packages/forward/tests/load-test.c
+++ b/packages/forward/tests/load-test.c
@@ -58,8 +58,8 @@
 	static const struct fw_ops ops = { .send = on_send,
 					   .cancel = on_cancel,
 					   .reply = on_reply,
-					   .event = on_event };
-	static const struct fl_ops fleet_ops = { .forget = on_forget };
+					   .event = ignore_event };
+	static const struct fl_ops fleet_ops = { .forget = ignore_forget };
 	static const struct fl_share share = { .vms = share_vms,
 					       .rank = share_rank };
 	const struct fl_settings settings = { .dc = GB_STR_INIT("here"),
--- a/packages/forward/tests/load-world.h
+++ b/packages/forward/tests/load-world.h
@@ -15,7 +15,7 @@
  *	once, at the time that it was told. All is drawn from one seed.
  */
 
-#include "forward/fw.h"
+#include "forward-ignore.h"
 #include "script/scr.h"
 
 #include <stdio.h>
@@ -443,23 +443,6 @@
 	   kind);
 }
 
-static void on_event(void *ctx, enum ev_code code,
-		     const struct fw_request *request,
-		     const struct fl_upstream *upstream, struct gb_str detail)
-{
-	(void)ctx;
-	(void)code;
-	(void)request;
-	(void)upstream;
-	(void)detail;
-}
-
-static void on_forget(void *ctx, struct fl_upstream *upstream)
-{
-	(void)ctx;
-	(void)upstream;
-}
-
 static uint32_t share_vms(void *ctx)
 {
 	const struct vm *vm = ctx;
--- a/packages/member/mem-reader.c
+++ b/packages/member/mem-reader.c
@@ -8,13 +8,14 @@
 
 /*
  * Each data centre has readers of its own besides, since what others read
- * crosses data centres once for each VM: in a tier of more VMs than this, two,
- * so that the loss of one leaves not that many to the others.
+ * crosses data centres once for each VM. In a tier of more VMs than this there
+ * are two, so that the others of a large data centre can do without one.
  */
 #define LARGE_VMS 64
 #define READERS_PER_DC 1
 #define READERS_PER_DC_LARGE 2
 
+/* "reader" in ASCII: ranks by this key belong to no upstream. */
 #define READERS_KEY 0x726561646572ull
 
 static uint32_t readers_per_dc(const struct mem_table *table)
--- a/packages/suspect/sus.c
+++ b/packages/suspect/sus.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-/* Doublings stop there. */
+/* Longest quarantine, unless the table's first one is longer already. */
 #define QUARANTINE_MAX (600 * GB_SEC)
 #define DOUBLINGS_MAX 10
 
