--- a/review/1/case.c
+++ b/review/1/case.c
@@ -5,14 +5,16 @@
 #include <string.h>
 
 /*
- * Clients send POST requests that may run once to two services of two replicas
- * each. In turns of 6 s, for 5 s each, all replicas reject 35% of their
- * requests, and one replica of each service adds a late second copy to 4% of
- * its answers.
+ * Clients send POST requests that may run once to two services of five replicas
+ * each. In turns of 6 s, for 5 s each, all replicas reject 30% of their
+ * requests, and three replicas of each service add a late second copy to 4% of
+ * their answers.
  */
 
 #define SERVICES 2
-#define REPLICAS (2 * SERVICES)
+#define SERVICE_REPLICAS 5
+#define GARBLED 3
+#define REPLICAS (SERVICE_REPLICAS * SERVICES)
 #define GAP_MS 10
 #define TURN_MS 6000
 #define FAULT_MS 5000
@@ -45,8 +47,9 @@
 static void set_faults(bool on)
 {
 	for (int i = 0; i < REPLICAS; i++) {
-		replica[i].shed_percent = on ? 35 : 0;
-		replica[i].extra_percent = on && i % 2 ? 4 : 0;
+		replica[i].shed_percent = on ? 30 : 0;
+		replica[i].extra_percent =
+			on && i % SERVICE_REPLICAS < GARBLED ? 4 : 0;
 	}
 	record("faults %s", on ? "begin" : "end");
 }
@@ -123,7 +126,7 @@
 		};
 		snprintf(replica[i].id, ID_LEN, "i-%d", i);
 		snprintf(replica[i].service, sizeof(replica[i].service), "%s",
-			 services[i / 2]);
+			 services[i / SERVICE_REPLICAS]);
 		replica_start(&replica[i]);
 		put_replica(replica[i].id, replica[i].service, replica[i].port,
 			    2, "ready", 1000 + i);
