http: never send two requests with one ID over one connection

Cause: an answer is matched to its request by the ID. A request that was rejected may be sent to the same upstream again, with the same ID, and the pool took the connection used last, mostly that of the rejection. A late second copy of the rejection then bore the ID that was expected: it was taken for the answer to the second send, which was running, and the request was sent a third time. In the VM's log the second send ends as "refused" after 15 ms; the upstream's record shows one rejection, before the run, and the copy after it.

Change: a connection remembers the keys of its last 32 calls, and a call is never sent over one that has sent its key. If no further connection may be opened, an idle one is replaced, so that the call does not wait.

--- a/packages/front/fr-upstream.c
+++ b/packages/front/fr-upstream.c
@@ -170,6 +170,7 @@
 	}
 	attempt->call = call;
 	attempt->query = call->part->request->data;
+	attempt->http.key = gb_hash(call->part->request->id, 0);
 	call->data = attempt;
 	target->conns_max = fl_conns_max(fr->fleet, upstream);
 	ht_call_start(&attempt->http, target, &call_ops);
--- a/packages/http/ht-client.c
+++ b/packages/http/ht-client.c
@@ -81,36 +81,66 @@
 	return false;
 }
 
-static struct ht_link *take_idle_link(struct ht_target *target)
+/* Closes the most recently used connections that are not usable any more. */
+static void close_unusable_links(struct ht_target *target)
 {
 	gb_time now = ht_now();
 
 	while (target->idle_links.length) {
 		struct ht_link *link = target->idle_links.head->data;
 
-		if (is_usable(link, now)) {
-			g_queue_unlink(&target->idle_links, &link->idle_link);
-			link->is_idle = false;
-			return link;
-		}
+		if (is_usable(link, now))
+			return;
 		ht_link_close(link);
 	}
+}
+
+/* Takes the most recently used connection that has not sent the key. */
+static struct ht_link *take_idle_link(struct ht_target *target, uint64_t key)
+{
+	gb_time now = ht_now();
+	GList *at;
+
+	close_unusable_links(target);
+	for (at = target->idle_links.head; at; at = at->next) {
+		struct ht_link *link = at->data;
+
+		if (ht_link_has_sent(link, key) || !is_usable(link, now))
+			continue;
+		g_queue_unlink(&target->idle_links, at);
+		link->is_idle = false;
+		return link;
+	}
 	return NULL;
 }
 
-/* Assigns a connection to the call; false if none is available now. */
+static void open_link(struct ht_target *target, struct ht_call *call)
+{
+	target->conns_open++;
+	ht_link_open(target, call, &link_ops);
+}
+
+/*
+ * Assigns a connection to the call; false if none is available now. Idle
+ * connections that have sent the call's key must not keep it waiting, so one of
+ * them is replaced if no further connection may be opened.
+ */
 static bool try_dispatch(struct ht_target *target, struct ht_call *call)
 {
-	struct ht_link *link = take_idle_link(target);
+	struct ht_link *link = take_idle_link(target, call->key);
 
 	if (link) {
 		ht_link_send(link, call);
 		return true;
 	}
-	if (target->conns_open >= target->conns_max)
+	if (target->conns_open < target->conns_max) {
+		open_link(target, call);
+		return true;
+	}
+	if (!target->idle_links.length)
 		return false;
-	target->conns_open++;
-	ht_link_open(target, call, &link_ops);
+	open_link(target, call);
+	ht_link_close(target->idle_links.tail->data);
 	return true;
 }
 
--- a/packages/http/ht-client.h
+++ b/packages/http/ht-client.h
@@ -11,6 +11,10 @@
  *	open, or waits for one. The request is encoded when it is sent, so that
  *	it can carry the time that remains until its deadline.
  *
+ *	Requests with the same key, such as retries that bear one ID, are sent
+ *	over different connections: a second copy of the response to the first
+ *	may arrive late, and only the ID tells to which request it belongs.
+ *
  *	Each call ends with exactly one callback done, unless it is cancelled.
  *	Cancelling a call that was sent closes its connection, since the
  *	response would arrive there. A connection that receives bytes while no
@@ -57,6 +61,8 @@
 	struct ht_link *link; /* NULL while it waits for a connection */
 	GList waiting_link; /* in target->waiting_calls */
 	bool high_priority; /* queued first; set before ht_call_start() */
+	/* Equal for requests with the same ID; 0: none. Set like the above. */
+	uint64_t key;
 	bool sent;
 	bool conn_reused; /* its connection served earlier calls */
 	struct gb_buf body; /* of the response; freed by the call's owner */
--- a/packages/http/ht-link.c
+++ b/packages/http/ht-link.c
@@ -133,6 +133,22 @@
 		defer_failure(link, HT_LOST);
 }
 
+bool ht_link_has_sent(const struct ht_link *link, uint64_t key)
+{
+	uint32_t len = MIN(link->sent_keys_len, HT_LINK_KEYS_MAX);
+
+	for (uint32_t i = 0; key && i < len; i++)
+		if (link->sent_keys[i] == key)
+			return true;
+	return false;
+}
+
+static void remember_key(struct ht_link *link, uint64_t key)
+{
+	if (key)
+		link->sent_keys[link->sent_keys_len++ % HT_LINK_KEYS_MAX] = key;
+}
+
 /* Encodes and sends the request of the connection's call. */
 static void send_request(struct ht_link *link)
 {
@@ -141,6 +157,7 @@
 	gb_buf_reset(&link->out);
 	if (call->ops->encode(call, &link->out)) {
 		call->sent = true;
+		remember_key(link, call->key);
 		write_request(link);
 		return;
 	}
--- a/packages/http/ht-link.h
+++ b/packages/http/ht-link.h
@@ -19,6 +19,12 @@
 	void (*closed)(struct ht_link *link);
 };
 
+/*
+ * Requests of a connection whose keys are remembered. A late copy of a response
+ * comes where one of the next responses is due.
+ */
+#define HT_LINK_KEYS_MAX 32
+
 struct ht_link {
 	const struct ht_link_ops *ops;
 	struct ht_target *target;
@@ -38,6 +44,8 @@
 	bool writing;
 	uint32_t skipped_responses; /* not reusable if any was skipped */
 	bool skipping_response; /* reading the response to an earlier call */
+	uint64_t sent_keys[HT_LINK_KEYS_MAX]; /* a ring */
+	uint32_t sent_keys_len; /* of all calls so far that have a key */
 	bool closed;
 	enum ht_outcome failure_outcome; /* reported when the timer expires */
 	unsigned int open_handles;
@@ -51,6 +59,9 @@
 void ht_link_send(struct ht_link *link, struct ht_call *call);
 void ht_link_close(struct ht_link *link);
 
+/* Tells whether a recent call over the connection had the key. */
+bool ht_link_has_sent(const struct ht_link *link, uint64_t key);
+
 /* Checks whether the server has closed an idle connection. */
 bool ht_link_peer_closed(const struct ht_link *link);
 
--- a/packages/http/tests/client-test.c
+++ b/packages/http/tests/client-test.c
@@ -76,6 +76,13 @@
 	return ctx;
 }
 
+static void close_peer(struct ctx *ctx)
+{
+	if (ctx->peer >= 0)
+		close(ctx->peer);
+	ctx->peer = -1;
+}
+
 static void close_ctx(void *data)
 {
 	struct ctx *ctx = data;
@@ -85,24 +92,29 @@
 	ht_target_free(ctx->target);
 	uv_run(&ctx->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&ctx->loop);
-	if (ctx->peer >= 0)
-		close(ctx->peer);
+	close_peer(ctx);
 	close(ctx->listener);
 	g_free(ctx);
 }
 
-/* Starts a call and receives its request at the server. */
+/*
+ * Starts a call, with key= if given, and receives its request at the server;
+ * conns= sets how many connections may be open.
+ */
 static void cmd_call(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
 {
 	struct ctx *ctx = data;
 	char bytes[256];
 
-	(void)args;
 	ctx->out = out;
 	ctx->running = true;
+	ctx->call.key = scr_int(args, GB_STR("key"), 0);
+	ctx->target->conns_max = scr_int(args, GB_STR("conns"), 1);
 	ht_call_start(&ctx->call, ctx->target, &call_ops);
 	uv_run(&ctx->loop, UV_RUN_NOWAIT);
+	if (!ctx->call.conn_reused)
+		close_peer(ctx);
 	if (ctx->peer < 0)
 		ctx->peer = accept(ctx->listener, NULL, NULL);
 	while (!ctx->call.sent)
@@ -117,8 +129,7 @@
 	if (reset)
 		setsockopt(ctx->peer, SOL_SOCKET, SO_LINGER, &linger,
 			   sizeof(linger));
-	close(ctx->peer);
-	ctx->peer = -1;
+	close_peer(ctx);
 }
 
 /*
