fleet: free an upstream only when no call refers to it any more

Cause: a request keeps its calls until it ends, and each points to its upstream. The fleet freed an upstream that had left as soon as no call to it was in flight. An answer that shows another upstream at the address marks it as having left some time ago, so that it was freed 2 s later, before the request that got that answer had ended; the log line of the reply then read its name.

Change: fl_hold() and fl_release(). Each call holds its upstream until its request is freed or the call is dropped; the fleet frees only upstreams that nobody holds. The comparison of ended calls with live upstreams by their pointers, which had the same fault, is sound with that as well.

Test, red before: forward/tests/departed. The test now prints the upstreams of missing parts in all scripts, as the log does.

--- a/packages/fleet/fl-fleet.c
+++ b/packages/fleet/fl-fleet.c
@@ -244,6 +244,24 @@
 					   : 2 * fleet->last_resort_time;
 }
 
+void fl_hold(struct fl_upstream *upstream)
+{
+	upstream->holders++;
+}
+
+void fl_release(struct fl_upstream *upstream)
+{
+	upstream->holders--;
+}
+
+static bool may_be_freed(const struct fl_fleet *fleet,
+			 const struct fl_upstream *upstream, gb_time now)
+{
+	return upstream->leaving && !upstream->in_flight &&
+	       !upstream->holders &&
+	       now - upstream->left_at >= kept_time(fleet, upstream);
+}
+
 void fl_purge_departed(struct fl_fleet *fleet, gb_time now)
 {
 	GHashTableIter iter;
@@ -253,8 +271,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct fl_upstream *upstream = value;
 
-		if (!upstream->leaving || upstream->in_flight ||
-		    now - upstream->left_at < kept_time(fleet, upstream))
+		if (!may_be_freed(fleet, upstream, now))
 			continue;
 		fleet->ops->upstream_reset(fleet->ctx, upstream);
 		g_ptr_array_remove(upstream->service->upstreams, upstream);
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -82,6 +82,7 @@
 	double cold_tokens; /* left in this VM's share of the cold rate */
 	gb_time cold_tokens_at; /* last refill of cold_tokens */
 	uint32_t in_flight; /* calls of this VM */
+	uint32_t holders; /* calls that refer to it, ended ones included */
 	double latency_ratio; /* moving average of latency over expected */
 	gb_time latency_ratio_at;
 	double failure_rate; /* 0 to 1 */
@@ -177,7 +178,15 @@
 gb_time fl_service_pause(const struct fl_fleet *fleet,
 			 const struct fl_service *service, gb_time now);
 
-/* Frees upstreams that have left and have no call of this VM in flight. */
+/*
+ * Holds an upstream, so that a pointer to it stays valid until fl_release().
+ * The fleet owns its upstreams; a pointer that is kept while others may run
+ * needs a hold, also when the call to the upstream has ended.
+ */
+void fl_hold(struct fl_upstream *upstream);
+void fl_release(struct fl_upstream *upstream);
+
+/* Frees upstreams that have left, are not held and have no call in flight. */
 void fl_purge_departed(struct fl_fleet *fleet, gb_time now);
 
 /* Constraints on the choice of an upstream. */
--- a/packages/forward/fw-call.c
+++ b/packages/forward/fw-call.c
@@ -18,6 +18,7 @@
 				  .cause = cause,
 				  .started_at = now,
 				  .running = true };
+	fl_hold(upstream);
 	part->calls_running++;
 	request->sends++;
 	call->queue_rounds = fl_queue_rounds(upstream, now);
--- a/packages/forward/fw-part.c
+++ b/packages/forward/fw-part.c
@@ -226,8 +226,10 @@
 	const struct fw_call *last = &part->calls[part->calls_len - 1];
 
 	if (!last->running &&
-	    (last->outcome == FW_UNSENT || last->outcome == FW_WITHDRAWN))
+	    (last->outcome == FW_UNSENT || last->outcome == FW_WITHDRAWN)) {
+		fl_release(last->upstream);
 		part->calls_len--;
+	}
 }
 
 void fw_part_handle_failure(struct fw_part *part, struct fw_call *call,
--- a/packages/forward/fw-request.c
+++ b/packages/forward/fw-request.c
@@ -181,10 +181,17 @@
 	gb_buf_free(&answer->body);
 }
 
+static void clear_part(struct fw_part *part)
+{
+	for (uint32_t i = 0; i < part->calls_len; i++)
+		fl_release(part->calls[i].upstream);
+	fw_answer_clear(&part->answer);
+}
+
 void fw_request_free(struct fw_request *request)
 {
 	for (uint32_t i = 0; i < request->parts_len; i++)
-		fw_answer_clear(&request->parts[i].answer);
+		clear_part(&request->parts[i]);
 	rt_table_unref(request->table);
 	g_free(request->parts);
 	g_free(request);
--- a/packages/forward/fw.h
+++ b/packages/forward/fw.h
@@ -70,7 +70,7 @@
 /* One send of a part to an upstream. */
 struct fw_call {
 	struct fw_part *part;
-	struct fl_upstream *upstream;
+	struct fl_upstream *upstream; /* held until the request is freed */
 	enum fw_cause cause;
 	gb_time started_at;
 	gb_time sent_at; /* 0 until it has a connection */
--- a/packages/forward/tests/forward-test.c
+++ b/packages/forward/tests/forward-test.c
@@ -76,6 +76,25 @@
 	ctx->call[number_of(ctx, call)] = NULL;
 }
 
+/* Prints the upstream of the last call of each missing part, as the log does.
+ */
+static void print_missing(struct ctx *ctx, const struct fw_request *request)
+{
+	for (uint32_t i = 0; i < request->parts_len; i++) {
+		const struct fw_part *part = &request->parts[i];
+		const struct fl_upstream *last;
+
+		if (part->state == FW_PART_ANSWERED || !part->calls_len)
+			continue;
+		last = part->calls[part->calls_len - 1].upstream;
+		print_line(ctx, "%.*s lacks %.*s, last sent to %.*s",
+			   (int)request->id.len, request->id.ptr,
+			   (int)part->service->name.len,
+			   part->service->name.ptr, (int)last->id.len,
+			   last->id.ptr);
+	}
+}
+
 static void on_reply(void *data, struct fw_request *request,
 		     const struct fw_reply *reply)
 {
@@ -98,6 +117,7 @@
 		   : reply->retry_after < 5 * GB_SEC	 ? " 2 to 5 s,"
 							 : " 5 s or more,",
 		   reply->parts_missing, (int)body.len, body.ptr);
+	print_missing(ctx, request);
 }
 
 static void on_report_crashes(void *data, uint64_t fingerprint,
@@ -476,6 +496,18 @@
 		  scr_int(args, GB_STR("crashes"), 0));
 }
 
+/* purge: frees upstreams that have left; prints how many are known */
+static void cmd_purge(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	ctx->out = out;
+	fl_purge_departed(ctx->fleet, ctx->now);
+	print_line(ctx, "%zu upstreams", fl_upstream_count(ctx->fleet));
+}
+
 /* gone ID: the caller of the request has left */
 static void cmd_gone(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
@@ -532,6 +564,7 @@
 		{ GB_STR_INIT("unreachable"), cmd_unreachable },
 		{ GB_STR_INIT("misdirect"), cmd_misdirect },
 		{ GB_STR_INIT("wait"), cmd_wait },
+		{ GB_STR_INIT("purge"), cmd_purge },
 		{ GB_STR_INIT("gone"), cmd_gone },
 		{ GB_STR_INIT("learn"), cmd_learn },
 		{ GB_STR_INIT("stop"), cmd_stop },
