suspect, front: ask other VMs which requests crash upstreams

Cause: a VM knows such requests in its memory only, and tells others when a further run is lost. A VM that starts later is told nothing. After all VMs were restarted in turn, none knew the three crashes before: the first one logs "suspect_crash crashes=1", and the counting and the quarantines begin anew.

The answer has the time since the last crash of each, so that a quarantine ends when it ends elsewhere. A request that was answered keeps its entry, as a mark against crashes before that answer; suspect/tests/lost shows it as "good" in place of "unknown" for this reason.

--- a/packages/forward/fw-done.c
+++ b/packages/forward/fw-done.c
@@ -22,7 +22,7 @@
 
 	switch (outcome) {
 	case FW_ANSWERED:
-		fw_clear_suspicion(request);
+		fw_clear_suspicion(request, now);
 		if (!answer->success && answer->status >= 500) {
 			fl_call_failed(upstream, now);
 			return;
--- a/packages/forward/fw-internal.h
+++ b/packages/forward/fw-internal.h
@@ -37,7 +37,7 @@
 /* Counts a lost run as a crash that the request may have caused. */
 void fw_record_lost_run(const struct fw_call *call, gb_time now);
 /* Clears the crash count of a request that was answered. */
-void fw_clear_suspicion(const struct fw_request *request);
+void fw_clear_suspicion(const struct fw_request *request, gb_time now);
 
 /* Tells whether the route is in overload, or may be about to enter it. */
 bool fw_is_congested(const struct fw_request *request);
--- a/packages/forward/fw-suspect.c
+++ b/packages/forward/fw-suspect.c
@@ -1,8 +1,5 @@
 #include "forward/fw-internal.h"
 
-/* A single lost run is mostly just a lost answer: other VMs are not told. */
-#define CRASHES_REPORTED_MIN 2
-
 bool fw_is_quarantined(const struct fw_request *request, gb_time now)
 {
 	const struct sus_table *suspects = request->engine->suspects;
@@ -27,13 +24,13 @@
 						      : EV_SUSPECT_CRASH,
 		      call->upstream, "fingerprint=%016llx crashes=%u",
 		      (unsigned long long)request->fingerprint, crashes);
-	if (crashes >= CRASHES_REPORTED_MIN)
+	if (crashes >= FW_CRASHES_REPORTED_MIN)
 		engine->ops->report_crashes(engine->ctx, request->fingerprint,
 					    crashes);
 }
 
-void fw_clear_suspicion(const struct fw_request *request)
+void fw_clear_suspicion(const struct fw_request *request, gb_time now)
 {
 	if (request->engine->suspects)
-		sus_clear(request->engine->suspects, request->fingerprint);
+		sus_clear(request->engine->suspects, now, request->fingerprint);
 }
--- a/packages/forward/fw.h
+++ b/packages/forward/fw.h
@@ -42,6 +42,9 @@
 /* Calls per part, including those that provably did not run. */
 #define FW_CALLS_MAX 4
 
+/* A single lost run is mostly just a lost answer: other VMs are not told. */
+#define FW_CRASHES_REPORTED_MIN 2
+
 struct fw_engine;
 struct fw_part;
 struct fw_request;
--- a/packages/forward/tests/forward-test.c
+++ b/packages/forward/tests/forward-test.c
@@ -489,11 +489,14 @@
 static void cmd_learn(void *data, const struct scr_args *args,
 		      struct gb_buf *out)
 {
+	const struct sus_record record = {
+		.fingerprint = gb_hash(scr_word(args, 0), 0),
+		.crashes = scr_int(args, GB_STR("crashes"), 0),
+	};
 	struct ctx *ctx = data;
 
 	(void)out;
-	sus_merge(ctx->engine.suspects, ctx->now, gb_hash(scr_word(args, 0), 0),
-		  scr_int(args, GB_STR("crashes"), 0));
+	sus_merge(ctx->engine.suspects, ctx->now, &record);
 }
 
 /* purge: frees upstreams that have left; prints how many are known */
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -81,6 +81,7 @@
 	gb_time eviction_logged_at;
 	struct mem_table *members;
 	uv_udp_t member_socket;
+	gb_time suspects_asked_at;
 	uint32_t ticks;
 	struct ht_target *store_target;
 	GHashTable *peers; /* control address of a VM to struct fr_peer */
@@ -146,8 +147,10 @@
 int fr_member_start(struct fr *fr);
 void fr_member_tick(struct fr *fr);
 
-/* Sends a datagram to a member, without retransmission. */
+/* Send a datagram to a member, without retransmission. */
 void fr_member_send(struct fr *fr, struct gb_str member, struct gb_str bytes);
+void fr_member_send_to(struct fr *fr, const struct sockaddr *to,
+		       struct gb_str bytes);
 
 /* Requests that crash upstreams. */
 void fr_suspect_init(struct fr *fr);
@@ -159,8 +162,12 @@
 /* Announces to some members how many upstreams a request may have crashed. */
 void fr_suspect_announce(void *ctx, uint64_t fingerprint, uint32_t crashes);
 
-/* Handles a datagram about a request that crashes upstreams; ignores others. */
-void fr_suspect_receive(struct fr *fr, struct gb_str datagram);
+/* Asks another VM for the requests that it suspects, if that is due. */
+void fr_suspect_tick(struct fr *fr);
+
+/* Handles a datagram about requests that crash upstreams; ignores others. */
+void fr_suspect_receive(struct fr *fr, const struct sockaddr *from,
+			struct gb_str datagram);
 
 /* Readiness, metrics and status. */
 extern const struct ht_server_ops fr_ready_ops;
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -202,6 +202,7 @@
 		fr_member_tick(fr);
 		fr_update_budget(fr);
 	}
+	fr_suspect_tick(fr);
 	if (fr->ticks % TICKS_PER_SETTINGS_CHECK == 0)
 		fr_reload_settings(fr, false);
 	ht_server_close_expired(&fr->caller_server, now);
@@ -315,6 +316,7 @@
 	uv_timer_start(&fr->tick_timer, on_tick, TICK_MS, TICK_MS);
 	log_event_code(fr, EV_START);
 	fr_member_tick(fr);
+	fr_suspect_tick(fr);
 	return 0;
 }
 
--- a/packages/front/fr-member.c
+++ b/packages/front/fr-member.c
@@ -65,7 +65,7 @@
 	met_add(&fr->metrics, MET_PEER_MESSAGES, 1);
 	met_add(&fr->metrics, MET_PEER_BYTES, len);
 	if (wire_member_decode(bytes, &message)) {
-		fr_suspect_receive(fr, bytes);
+		fr_suspect_receive(fr, from, bytes);
 		return;
 	}
 	mem_receive(fr->members, ht_now(), &message);
@@ -76,18 +76,24 @@
 					     message.rows[0].address_len });
 }
 
-void fr_member_send(struct fr *fr, struct gb_str member, struct gb_str bytes)
+void fr_member_send_to(struct fr *fr, const struct sockaddr *to,
+		       struct gb_str bytes)
 {
 	uv_buf_t buf = uv_buf_init((char *)bytes.ptr, bytes.len);
-	struct sockaddr_storage addr;
 
-	if (ht_parse_address(member, &addr))
-		return;
 	/* A datagram that the socket does not accept is lost like any other. */
-	uv_udp_try_send(&fr->member_socket, &buf, 1, (struct sockaddr *)&addr);
+	uv_udp_try_send(&fr->member_socket, &buf, 1, to);
 	met_add(&fr->metrics, MET_CONTROL_BYTES, bytes.len);
 }
 
+void fr_member_send(struct fr *fr, struct gb_str member, struct gb_str bytes)
+{
+	struct sockaddr_storage addr;
+
+	if (!ht_parse_address(member, &addr))
+		fr_member_send_to(fr, (struct sockaddr *)&addr, bytes);
+}
+
 static void on_send(void *ctx, struct gb_str address,
 		    const struct mem_message *message)
 {
--- a/packages/front/fr-suspect.c
+++ b/packages/front/fr-suspect.c
@@ -15,6 +15,21 @@
 /* Random members to announce to; each announces in turn. */
 #define ANNOUNCE_FANOUT 8
 
+/* Suspects of one datagram, small enough not to be fragmented. */
+#define SUSPECTS_PER_DATAGRAM 60
+
+/* Datagrams that answer a VM, at most. */
+#define DATAGRAMS_PER_ANSWER 8
+
+/*
+ * A VM asks one other VM at a time for its suspects: often after its start,
+ * when it knows none, and now and then later, since announcements are lost
+ * while it is cut off or paused.
+ */
+#define ASK_INTERVAL_AT_START (200 * GB_MSEC)
+#define ASK_INTERVAL (2 * GB_SEC)
+#define START_TIME (2 * GB_SEC)
+
 void fr_suspect_init(struct fr *fr)
 {
 	fr->engine.suspects =
@@ -29,6 +44,16 @@
 	return gb_hash(gb_buf_str(&request->body), host_and_path);
 }
 
+static void send_message(struct fr *fr, const struct msg *msg,
+			 const struct sockaddr *to)
+{
+	struct gb_buf bytes = GB_BUF_INIT;
+
+	if (!wire_encode(msg, &bytes))
+		fr_member_send_to(fr, to, gb_buf_str(&bytes));
+	gb_buf_free(&bytes);
+}
+
 void fr_suspect_announce(void *ctx, uint64_t fingerprint, uint32_t crashes)
 {
 	const struct msg msg = { .kind = MSG_QUARANTINE,
@@ -46,17 +71,80 @@
 	gb_buf_free(&bytes);
 }
 
-static void learn_crashes(struct fr *fr, const struct msg *msg)
+static void learn_crashes(struct fr *fr, const struct msg_quarantine *m)
+{
+	const struct sus_record record = { .fingerprint = m->fingerprint,
+					   .crashes = m->crashes };
+
+	if (sus_merge(fr->engine.suspects, ht_now(), &record))
+		fr_suspect_announce(fr, m->fingerprint, m->crashes);
+}
+
+/* Messages with the suspects of this VM, on their way to another one. */
+struct answer {
+	struct fr *fr;
+	const struct sockaddr *to;
+	struct msg_suspect suspects[SUSPECTS_PER_DATAGRAM];
+	uint32_t suspects_len;
+	uint32_t datagrams;
+};
+
+static void send_answer(struct answer *answer)
+{
+	const struct msg msg = { .kind = MSG_SUSPECTS,
+				 .suspects = { answer->suspects,
+					       answer->suspects_len } };
+
+	send_message(answer->fr, &msg, answer->to);
+	answer->suspects_len = 0;
+	answer->datagrams++;
+}
+
+static void add_to_answer(void *ctx, const struct sus_record *record)
+{
+	struct answer *answer = ctx;
+
+	if (record->crashes < FW_CRASHES_REPORTED_MIN ||
+	    answer->datagrams == DATAGRAMS_PER_ANSWER)
+		return;
+	answer->suspects[answer->suspects_len++] =
+		(struct msg_suspect){ .fingerprint = record->fingerprint,
+				      .crashes = record->crashes,
+				      .age = record->age };
+	if (answer->suspects_len == SUSPECTS_PER_DATAGRAM)
+		send_answer(answer);
+}
+
+static void answer_ask(struct fr *fr, const struct sockaddr *to)
 {
-	uint64_t fingerprint = msg->quarantine.fingerprint;
-	uint32_t crashes = msg->quarantine.crashes;
+	struct answer answer = { .fr = fr, .to = to };
 
-	if (msg->kind == MSG_QUARANTINE &&
-	    sus_merge(fr->engine.suspects, ht_now(), fingerprint, crashes))
-		fr_suspect_announce(fr, fingerprint, crashes);
+	sus_each_crashed(fr->engine.suspects, ht_now(), add_to_answer, &answer);
+	if (answer.suspects_len)
+		send_answer(&answer);
 }
 
-void fr_suspect_receive(struct fr *fr, struct gb_str datagram)
+static void learn_suspects(struct fr *fr, const struct msg_suspects *m)
+{
+	struct ev_event event = { .code = EV_SUSPECTS_LEARNED };
+	gb_time now = ht_now();
+
+	for (uint32_t i = 0; i < m->suspects_len; i++) {
+		const struct sus_record record = {
+			.fingerprint = m->suspects[i].fingerprint,
+			.crashes = m->suspects[i].crashes,
+			.age = m->suspects[i].age,
+		};
+
+		event.num1 += sus_merge(fr->engine.suspects, now, &record);
+	}
+	event.num2 = now - fr->started_at;
+	if (event.num1)
+		fr_log_event(fr, &event);
+}
+
+void fr_suspect_receive(struct fr *fr, const struct sockaddr *from,
+			struct gb_str datagram)
 {
 	struct wire_reader reader = { 0 };
 	struct msg *msg = NULL;
@@ -64,8 +152,33 @@
 
 	wire_reader_feed(&reader, datagram);
 	if (wire_reader_next(&reader, &msg, &error) == 1) {
-		learn_crashes(fr, msg);
+		if (msg->kind == MSG_QUARANTINE)
+			learn_crashes(fr, &msg->quarantine);
+		else if (msg->kind == MSG_SUSPECTS_ASK)
+			answer_ask(fr, from);
+		else if (msg->kind == MSG_SUSPECTS)
+			learn_suspects(fr, &msg->suspects);
 		msg_free(msg);
 	}
 	wire_reader_free(&reader);
 }
+
+void fr_suspect_tick(struct fr *fr)
+{
+	const struct msg msg = { .kind = MSG_SUSPECTS_ASK };
+	gb_time now = ht_now();
+	gb_time interval = now - fr->started_at < START_TIME
+				   ? ASK_INTERVAL_AT_START
+				   : ASK_INTERVAL;
+	struct sockaddr_storage to;
+	struct gb_str member;
+
+	if (now - fr->suspects_asked_at < interval)
+		return;
+	fr->suspects_asked_at = now;
+	if (!mem_pick(fr->members, MEM_ALL, 0, 0, &member) &&
+	    !mem_pick_seed(fr->members, &member))
+		return;
+	if (!ht_parse_address(member, &to))
+		send_message(fr, &msg, (struct sockaddr *)&to);
+}
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -28,6 +28,8 @@
 static void free_join_data(struct msg *msg);
 static void copy_leaving_data(struct msg *msg);
 static void free_leaving_data(struct msg *msg);
+static void copy_suspects_data(struct msg *msg);
+static void free_suspects_data(struct msg *msg);
 static void copy_config_data(struct msg *msg);
 static void free_config_data(struct msg *msg);
 
@@ -67,6 +69,10 @@
 	[MSG_LEAVING] = { .name = GB_STR_INIT("leaving"),
 			  .copy_data = copy_leaving_data,
 			  .free_data = free_leaving_data },
+	[MSG_SUSPECTS_ASK] = { .name = GB_STR_INIT("suspects_ask") },
+	[MSG_SUSPECTS] = { .name = GB_STR_INIT("suspects"),
+			   .copy_data = copy_suspects_data,
+			   .free_data = free_suspects_data },
 };
 
 static void copy_batch_data(struct msg *msg)
@@ -196,6 +202,19 @@
 	g_free(msg->leaving.hosts);
 }
 
+static void copy_suspects_data(struct msg *msg)
+{
+	struct msg_suspects *m = &msg->suspects;
+
+	m->suspects = g_memdup2(m->suspects,
+				m->suspects_len * sizeof(m->suspects[0]));
+}
+
+static void free_suspects_data(struct msg *msg)
+{
+	g_free(msg->suspects.suspects);
+}
+
 static void copy_config_data(struct msg *msg)
 {
 	if (msg->config.cfg)
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -36,6 +36,8 @@
 	MSG_WARM,
 	MSG_JOIN,
 	MSG_LEAVING,
+	MSG_SUSPECTS_ASK,
+	MSG_SUSPECTS,
 	MSG_KINDS
 };
 
@@ -211,6 +213,21 @@
 	uint32_t hosts_len;
 };
 
+/*
+ * The requests with crashes that a VM knows. It answers
+ * MSG_SUSPECTS_ASK, which has no body.
+ */
+struct msg_suspect {
+	uint64_t fingerprint;
+	uint32_t crashes;
+	gb_time age; /* time since the last crash */
+};
+
+struct msg_suspects {
+	struct msg_suspect *suspects;
+	uint32_t suspects_len;
+};
+
 struct msg {
 	enum msg_kind kind;
 	uint32_t from; /* id of the sending VM */
@@ -231,6 +248,7 @@
 		struct msg_warm warm;
 		struct msg_join join;
 		struct msg_leaving leaving;
+		struct msg_suspects suspects;
 	};
 };
 
--- a/packages/node/nd-input.c
+++ b/packages/node/nd-input.c
@@ -22,7 +22,8 @@
 
 static void dispatch(struct node *node, const struct msg *msg)
 {
-	if (msg->kind < MSG_KINDS)
+	/* Some kinds are sent between VMs of role front only. */
+	if (msg->kind < MSG_KINDS && handlers[msg->kind])
 		handlers[msg->kind](node, msg);
 }
 
--- a/packages/node/nd-owner.c
+++ b/packages/node/nd-owner.c
@@ -298,8 +298,12 @@
 
 void nd_on_quarantine(struct node *node, const struct msg *msg)
 {
-	sus_merge(node->suspects, node->clock.now, msg->quarantine.fingerprint,
-		  msg->quarantine.crashes);
+	const struct sus_record record = {
+		.fingerprint = msg->quarantine.fingerprint,
+		.crashes = msg->quarantine.crashes,
+	};
+
+	sus_merge(node->suspects, node->clock.now, &record);
 }
 
 void nd_owner_upstream_done(struct node *node,
--- a/packages/node/nd-soft-state.c
+++ b/packages/node/nd-soft-state.c
@@ -5,15 +5,13 @@
 	uint32_t vm;
 };
 
-static void send_suspect(void *ctx, uint64_t fingerprint, uint32_t crashes);
-
-static void send_suspect(void *ctx, uint64_t fingerprint, uint32_t crashes)
+static void send_suspect(void *ctx, const struct sus_record *record)
 {
 	const struct recipient *to = ctx;
 	struct msg msg = {
 		.kind = MSG_QUARANTINE,
-		.quarantine = { .fingerprint = fingerprint,
-				.crashes = crashes },
+		.quarantine = { .fingerprint = record->fingerprint,
+				.crashes = record->crashes },
 	};
 
 	nd_send(to->node, to->vm, &msg);
@@ -29,7 +27,7 @@
 
 	if (vm == node->settings.vm)
 		return;
-	sus_each_crashed(node->suspects, send_suspect, &to);
+	sus_each_crashed(node->suspects, node->clock.now, send_suspect, &to);
 	nd_warm_send(node, vm);
 	nd_leaving_send(node, vm);
 }
--- a/packages/suspect/sus.c
+++ b/packages/suspect/sus.c
@@ -11,6 +11,7 @@
 	enum sus_state state;
 	uint32_t crashes;
 	gb_time crashed_at; /* last crash */
+	gb_time cleared_at; /* last answer after a crash */
 	gb_time quarantined_until;
 	GList link; /* in good or not_good, oldest first */
 };
@@ -34,8 +35,7 @@
 static void set_state(struct sus_table *table, struct entry *entry,
 		      enum sus_state state);
 static enum sus_state state_at(const struct entry *entry, gb_time now);
-static void quarantine_entry(struct sus_table *table, gb_time now,
-			     struct entry *entry);
+static void quarantine_entry(struct sus_table *table, struct entry *entry);
 
 struct sus_table *sus_new(size_t entries_max, uint32_t crashes_max,
 			  gb_time first_quarantine)
@@ -123,25 +123,26 @@
 	return entry->state;
 }
 
-static void quarantine_entry(struct sus_table *table, gb_time now,
-			     struct entry *entry)
+/* Quarantines the entry, counted from its last crash. */
+static void quarantine_entry(struct sus_table *table, struct entry *entry)
 {
 	uint32_t doublings =
 		MIN(entry->crashes - table->crashes_max, DOUBLINGS_MAX);
 	gb_time longest = MAX(table->first_quarantine, QUARANTINE_MAX);
 
 	entry->quarantined_until =
-		now + MIN(table->first_quarantine << doublings, longest);
+		entry->crashed_at +
+		MIN(table->first_quarantine << doublings, longest);
 	set_state(table, entry, SUS_QUARANTINED);
 }
 
-static void set_crashes(struct sus_table *table, gb_time now,
+static void set_crashes(struct sus_table *table, gb_time crashed_at,
 			struct entry *entry, uint32_t crashes)
 {
 	entry->crashes = crashes;
-	entry->crashed_at = now;
+	entry->crashed_at = crashed_at;
 	if (crashes >= table->crashes_max)
-		quarantine_entry(table, now, entry);
+		quarantine_entry(table, entry);
 	else
 		set_state(table, entry, SUS_SUSPECT);
 }
@@ -206,12 +207,16 @@
 	return true;
 }
 
-void sus_clear(struct sus_table *table, uint64_t fingerprint)
+void sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint)
 {
 	struct entry *entry = find_entry(table, fingerprint);
 
-	if (entry)
-		remove_entry(table, entry);
+	if (!entry)
+		return;
+	/* The entry stays, since other VMs may still tell of its crashes. */
+	entry->crashes = 0;
+	entry->cleared_at = now;
+	set_state(table, entry, SUS_GOOD);
 }
 
 void sus_run_abandoned(struct sus_table *table, uint64_t fingerprint)
@@ -226,26 +231,37 @@
 		remove_entry(table, entry);
 }
 
-bool sus_merge(struct sus_table *table, gb_time now, uint64_t fingerprint,
-	       uint32_t crashes)
+bool sus_merge(struct sus_table *table, gb_time now,
+	       const struct sus_record *record)
 {
-	if (!crashes || crashes <= sus_crashes(table, fingerprint))
+	struct entry *entry = find_entry(table, record->fingerprint);
+	gb_time crashed_at = now - record->age;
+
+	if (!record->crashes)
+		return false;
+	if (entry && (record->crashes <= entry->crashes ||
+		      crashed_at < entry->cleared_at))
 		return false;
-	set_crashes(table, now, find_or_add_entry(table, fingerprint), crashes);
+	entry = find_or_add_entry(table, record->fingerprint);
+	set_crashes(table, crashed_at, entry, record->crashes);
 	return true;
 }
 
-void sus_each_crashed(const struct sus_table *table,
-		      void (*visit)(void *ctx, uint64_t fingerprint,
-				    uint32_t crashes),
+void sus_each_crashed(const struct sus_table *table, gb_time now,
+		      void (*visit)(void *ctx, const struct sus_record *record),
 		      void *ctx)
 {
-	for (const GList *link = table->not_good.head; link;
-	     link = link->next) {
+	for (const GList *link = table->not_good.tail; link;
+	     link = link->prev) {
 		const struct entry *entry = link->data;
+		const struct sus_record record = {
+			.fingerprint = entry->fingerprint,
+			.crashes = entry->crashes,
+			.age = MAX(now - entry->crashed_at, 0),
+		};
 
 		if (entry->crashes)
-			visit(ctx, entry->fingerprint, entry->crashes);
+			visit(ctx, &record);
 	}
 }
 
--- a/packages/suspect/sus.h
+++ b/packages/suspect/sus.h
@@ -22,6 +22,11 @@
  *
  *	The quarantine time doubles with each further crash, up to a maximum.
  *
+ *	VMs tell each other of crashes by records. A record carries the time
+ *	since the last crash, so that a VM that learns of it late ends the
+ *	quarantine when the others do, and takes no crash that is older than an
+ *	answer of its own.
+ *
  *	The table keeps a bounded number of entries; the oldest good one is
  *	evicted first.
  */
@@ -37,6 +42,13 @@
 	SUS_QUARANTINED
 };
 
+/* The crashes of a request, as one VM tells another. */
+struct sus_record {
+	uint64_t fingerprint;
+	uint32_t crashes;
+	gb_time age; /* time since the last crash */
+};
+
 struct sus_table;
 
 /* Quarantines requests after crashes_max crashes. */
@@ -67,17 +79,22 @@
 bool sus_run_lost(struct sus_table *table, gb_time now, uint64_t fingerprint,
 		  gb_time sent_at);
 
-/* Removes the entry of a request, since a run had an answer. */
-void sus_clear(struct sus_table *table, uint64_t fingerprint);
+/* Makes a request with crashes good again, since a run had an answer. */
+void sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint);
 
-/* Merges the crashes seen by another VM; returns whether there were more. */
-bool sus_merge(struct sus_table *table, gb_time now, uint64_t fingerprint,
-	       uint32_t crashes);
+/*
+ * Merges the crashes seen by another VM. Returns whether there were more, and
+ * no answer since.
+ */
+bool sus_merge(struct sus_table *table, gb_time now,
+	       const struct sus_record *record);
 
-/* Visits each request with crashes that was not cleared since. */
-void sus_each_crashed(const struct sus_table *table,
-		      void (*visit)(void *ctx, uint64_t fingerprint,
-				    uint32_t crashes),
+/*
+ * Visits the record of each request with crashes that was not cleared since,
+ * the last one that changed first.
+ */
+void sus_each_crashed(const struct sus_table *table, gb_time now,
+		      void (*visit)(void *ctx, const struct sus_record *record),
 		      void *ctx);
 size_t sus_len(const struct sus_table *table);
 
--- a/packages/suspect/tests/suspect-test.c
+++ b/packages/suspect/tests/suspect-test.c
@@ -35,6 +35,36 @@
 			   scr_int(args, GB_STR("quarantine"), 1000));
 }
 
+/* merge= age=: another VM tells of crashes, the last one some time ago */
+static void merge(struct sus_table *table, gb_time now, uint64_t fp,
+		  const struct scr_args *args)
+{
+	const struct sus_record record = {
+		.fingerprint = fp,
+		.crashes = scr_int(args, GB_STR("merge"), 0),
+		.age = scr_int(args, GB_STR("age"), 0),
+	};
+
+	sus_merge(table, now, &record);
+}
+
+static void print_record(void *out, const struct sus_record *record)
+{
+	gb_buf_addf(out, "fp=%llu crashes=%u age=%lld\n",
+		    (unsigned long long)record->fingerprint, record->crashes,
+		    (long long)record->age);
+}
+
+/* records at=: prints what the table tells other VMs */
+static void cmd_records(void *ctx, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	struct ctx *c = ctx;
+
+	sus_each_crashed(c->table, scr_int(args, GB_STR("at"), 0), print_record,
+			 out);
+}
+
 /* run fp= at= EVENT...: applies events to a fingerprint and prints its state */
 static void cmd_run(void *ctx, const struct scr_args *args, struct gb_buf *out)
 {
@@ -55,12 +85,11 @@
 			sus_run_lost(t, now, fp,
 				     scr_int(args, GB_STR("sent"), 0));
 		else if (gb_str_eq(word, GB_STR("clear")))
-			sus_clear(t, fp);
+			sus_clear(t, now, fp);
 		else if (gb_str_eq(word, GB_STR("abandon")))
 			sus_run_abandoned(t, fp);
 		else if (gb_str_starts_with(word, GB_STR("merge")))
-			sus_merge(t, now, fp,
-				  scr_int(args, GB_STR("merge"), 0));
+			merge(t, now, fp, args);
 	}
 	gb_buf_addf(out, "%s crashes=%u entries=%zu\n",
 		    states[sus_state(t, now, fp)], sus_crashes(t, fp),
@@ -70,6 +99,7 @@
 static const struct scr_command commands[] = {
 	{ .name = GB_STR_INIT("table"), .run = cmd_table },
 	{ .name = GB_STR_INIT("run"), .run = cmd_run },
+	{ .name = GB_STR_INIT("records"), .run = cmd_records },
 };
 
 int main(int argc, char **argv)
--- a/packages/wire/tests/wire-test.c
+++ b/packages/wire/tests/wire-test.c
@@ -28,6 +28,7 @@
 	{ .attempt = 66, .shard = 67, .status = MSG_STATUS_FAILED },
 };
 
+static struct msg_suspect suspects[] = { { 160, 161, 162 }, { 163, 164, 165 } };
 static struct msg_warm_upstream warm_items[] = { { 140, 141 }, { 142, 143 } };
 
 static struct gb_str hosts[] = { { "127.0.0.7", 9 }, { "127.0.0.8", 9 } };
@@ -76,6 +77,7 @@
 	[MSG_OUTCOME].outcome = { { "k4", 2 }, { 111, 112, 113 }, { "o", 1 } },
 	[MSG_CONFIG_FETCH].config_fetch = { .known_version = 120 },
 	[MSG_QUARANTINE].quarantine = { .fingerprint = 130, .crashes = 131 },
+	[MSG_SUSPECTS].suspects = { suspects, G_N_ELEMENTS(suspects) },
 	[MSG_LEAVING].leaving = { hosts, G_N_ELEMENTS(hosts) },
 	[MSG_JOIN].join = { 150,
 			    { "vm-9", 4 },
--- a/packages/wire/wire-config.c
+++ b/packages/wire/wire-config.c
@@ -51,11 +51,3 @@
 	version = cfg ? cfg->version : 0;
 	return wire_xdr_u64(xdrs, &version) && wire_xdr_str(xdrs, ctx, &text);
 }
-
-bool_t wire_xdr_quarantine(XDR *xdrs, struct wire_ctx *ctx)
-{
-	struct msg_quarantine *m = &ctx->msg->quarantine;
-
-	return wire_xdr_u64(xdrs, &m->fingerprint) &&
-	       wire_xdr_u32(xdrs, &m->crashes);
-}
--- a/packages/wire/wire-row.c
+++ b/packages/wire/wire-row.c
@@ -17,6 +17,8 @@
 	[MSG_WARM] = { .xdr = wire_xdr_warm },
 	[MSG_JOIN] = { .xdr = wire_xdr_join },
 	[MSG_LEAVING] = { .xdr = wire_xdr_leaving },
+	[MSG_SUSPECTS_ASK] = { .xdr = wire_xdr_suspects_ask },
+	[MSG_SUSPECTS] = { .xdr = wire_xdr_suspects },
 };
 
 const struct wire_row *wire_row(uint32_t kind)
--- a/tests/emulator/lib.sh
+++ b/tests/emulator/lib.sh
@@ -45,6 +45,13 @@
 	kill -"$3" "$(cat "$1/vm$2.pid")" 2>/dev/null
 }
 
+# wait_stopped DIR INDEX: waits until the process of the VM has ended
+wait_stopped() {
+	while kill -0 "$(cat "$1/vm$2.pid")" 2>/dev/null; do
+		sleep 0.05
+	done
+}
+
 # stop_all DIR
 stop_all() {
 	for file in "$1"/*.pid; do
