front: refuse a request that may outlast a stopping process

An operator reported requests that came late in the grace time of a planned stop, were passed on, and were cut at its end, among them some that may not be repeated.

Here the listening socket is closed 2.6 s after SIGTERM, but a request whose first bytes came before may be complete seconds later. It was passed on, and answered with 502 when the process ended 0.8 s before the end of the grace time; whether it had run was then unknown.

Change: from the 2.6 s on, a request whose deadline is later than the end of the process is answered with 503 at once. It has not run, and the caller can send it to another VM.

--- a/packages/front/fr-caller.c
+++ b/packages/front/fr-caller.c
@@ -85,6 +85,18 @@
 	fr_query_free_or_rearm(query);
 }
 
+/*
+ * Tells whether the process may end before the request does. In the last phase
+ * of a stop the load balancer sends no more requests, and those that still
+ * arrive are better served by another VM at once.
+ */
+static bool may_outlast_process(const struct fr *fr,
+				const struct fw_request *request)
+{
+	return fr->phase == FR_CLOSING &&
+	       request->deadline > fr_stop_deadline(fr);
+}
+
 static void start_query(struct fr *fr, struct ht_exchange *exchange,
 			struct rt_route *route,
 			const struct fr_request_info *info)
@@ -113,7 +125,10 @@
 	met_add(&fr->metrics, MET_QUERIES, 1);
 	query->request =
 		fw_request_new(&fr->engine, fr->config.table, route, &forward);
-	fw_request_start(query->request, ht_now());
+	if (may_outlast_process(fr, query->request))
+		fw_request_stop(query->request, ht_now());
+	else
+		fw_request_start(query->request, ht_now());
 	fr_query_free_or_rearm(query);
 }
 
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -174,6 +174,9 @@
 extern const struct ht_server_ops fr_control_ops;
 bool fr_is_ready(const struct fr *fr);
 
+/* Time at which a stopping process answers what still runs, and ends. */
+gb_time fr_stop_deadline(const struct fr *fr);
+
 /* Applies settings and the number of members to the retry budget. */
 void fr_update_budget(struct fr *fr);
 void fr_set_server_limits(struct ht_server *server,
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -147,16 +147,21 @@
 	uv_stop(fr->loop);
 }
 
+gb_time fr_stop_deadline(const struct fr *fr)
+{
+	return fr->stopping_since + fr->settings.grace_period - GRACE_MARGIN;
+}
+
 static void continue_stop(struct fr *fr)
 {
-	gb_time elapsed = ht_now() - fr->stopping_since;
+	gb_time now = ht_now();
 
-	if (elapsed >= fr->settings.grace_period - GRACE_MARGIN) {
+	if (now >= fr_stop_deadline(fr)) {
 		fr_abort_queries(fr);
 		finish_stop(fr);
 		return;
 	}
-	if (elapsed < LB_REMOVAL_TIME)
+	if (now - fr->stopping_since < LB_REMOVAL_TIME)
 		return;
 	fr->phase = FR_CLOSING;
 	ht_server_close_idle(&fr->caller_server);
