platform, directory: go on after an entry that can't be read

Cause: the next page of a list begins after the last name of the page before, and the decoder returned no name for an entry that it can't read. A page without any readable entry was taken for one that stands still, and was read for ever.

Change: the decoder returns the name of each entry that has one, readable or not. The rule of advance moves to dir_list_advances(), where a test can use it.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -60,6 +60,12 @@
 	follower->cursor = copy;
 }
 
+bool dir_list_advances(const struct dir_follower *follower, bool more,
+		       struct gb_str last)
+{
+	return !more || (last.len && !gb_str_eq(last, follower->cursor));
+}
+
 static void record_success(struct dir_follower *follower, gb_time due)
 {
 	follower->failures = 0;
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -54,6 +54,14 @@
  */
 void dir_begin_step(struct dir_follower *follower, gb_time wait);
 
+/*
+ * Tells whether the list goes on after a page that ended with that name. The
+ * next page begins after it, so a page without a name, or that ends where the
+ * one before it ended, would be read for ever.
+ */
+bool dir_list_advances(const struct dir_follower *follower, bool more,
+		       struct gb_str last);
+
 /* These record how a step ended. */
 void dir_list_done(struct dir_follower *follower, gb_time now, int64_t revision,
 		   bool more, struct gb_str last);
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -44,15 +44,6 @@
 	fr_log_event(follower->fr, &event);
 }
 
-/* A page that ends where the one before it ended would be read for ever. */
-static bool advances_cursor(const struct fr_follower *follower,
-			    const struct fr_page *page)
-{
-	return !page->more ||
-	       (page->last_name.len &&
-		!gb_str_eq(page->last_name, follower->state.cursor));
-}
-
 static int apply_list(struct fr_follower *follower)
 {
 	struct fr_page page = { .min_revision = follower->state.revision };
@@ -61,7 +52,7 @@
 	if (follower->fr->platform->read_list(
 		    follower->kind, gb_buf_str(&follower->call.body),
 		    &fr_object_ops, follower->fr, &page) ||
-	    !advances_cursor(follower, &page)) {
+	    !dir_list_advances(&follower->state, page.more, page.last_name)) {
 		gb_str_free(&page.last_name);
 		return -1;
 	}
--- a/packages/front/fr.h
+++ b/packages/front/fr.h
@@ -96,7 +96,8 @@
 	int64_t revision;
 	size_t objects_len;
 	bool more;
-	struct gb_str last_name; /* of the last object; owned */
+	/* of the last object that has one, readable or not; owned */
+	struct gb_str last_name;
 };
 
 /*
