--- a/tests/emulator/lib.sh
+++ b/tests/emulator/lib.sh
@@ -32,12 +32,25 @@
 	EOF
 }
 
-# start_vm DIR NET INDEX: starts the VM and keeps its process id
+# start_vm DIR NET INDEX: starts the VM and keeps its process id. A VM that ends by a
+# signal other than SIGTERM and SIGKILL, or with a failure, is noted in DIR/crashed.
 start_vm() {
-	"$build/gentianbend" --settings "$1/vm$3.ini" >>"$1/vm$3.log" \
-		2>>"$1/vm$3.err" &
-	echo $! >"$1/vm$3.pid"
+	rm -f "$1/vm$3.pid"
+	(
+		"$build/gentianbend" --settings "$1/vm$3.ini" \
+			>>"$1/vm$3.log" 2>>"$1/vm$3.err" &
+		echo $! >"$1/vm$3.pid"
+		wait $!
+		status=$?
+		case $status in
+		0 | 137 | 143) ;;
+		*) echo "vm$3: status $status" >>"$1/crashed" ;;
+		esac
+	) 2>/dev/null &
 	disown
+	until [ -s "$1/vm$3.pid" ]; do
+		sleep 0.01
+	done
 }
 
 # signal_vm DIR INDEX SIGNAL
