directory, front: notice a watch whose connection has fallen silent

Cause: a watch at the store waited for 5 s and was given up 0.8 s later; nothing else showed that its connection was dead.

Change: the watches of the upstreams wait 2.4 s in place of 5 s. If one has no answer, those of the other kinds that wait are sent again at once over new connections. A watch that alone has fallen silent is found by an audit: a revision of the store that has risen by more than the changes returned by all watches. The other kinds therefore wait 10 s.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -70,6 +70,7 @@
 {
 	follower->failures = 0;
 	follower->failing_since = 0;
+	follower->source_in_doubt = false;
 	follower->due_at = due;
 }
 
@@ -123,7 +124,14 @@
 
 void dir_begin_step(struct dir_follower *follower, gb_time wait)
 {
-	follower->watch_wait = follower->failures ? 0 : wait;
+	bool must_answer = follower->failures || follower->source_in_doubt;
+
+	follower->watch_wait = must_answer ? 0 : wait;
+}
+
+void dir_doubt_source(struct dir_follower *follower)
+{
+	follower->source_in_doubt = true;
 }
 
 gb_time dir_step_timeout(const struct dir_follower *follower)
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -41,6 +41,7 @@
 	bool synced; /* all objects have been listed at least once */
 	/* how long the source may hold a watch without changes */
 	gb_time watch_wait;
+	bool source_in_doubt; /* it may have stopped responding */
 	uint32_t timeout_phase; /* which attempts have a long timeout */
 };
 
@@ -49,11 +50,15 @@
 
 /*
  * Starts a step. The source may hold a watch for up to wait while nothing
- * changes. After a failure the wait is 0, since a source that has stopped
- * responding cannot be told from one that is waiting for changes.
+ * changes. After a failure, or while the source is in doubt, the wait is 0,
+ * since a source that has stopped responding cannot be told from one that is
+ * waiting for changes.
  */
 void dir_begin_step(struct dir_follower *follower, gb_time wait);
 
+/* Puts the source in doubt until it answers. */
+void dir_doubt_source(struct dir_follower *follower);
+
 /*
  * Tells whether the list goes on after a page that ended with that name. The
  * next page begins after it, so a page without a name, or that ends where the
--- a/packages/directory/tests/directory-test.c
+++ b/packages/directory/tests/directory-test.c
@@ -1,8 +1,10 @@
+#include "directory/dir-audit.h"
 #include "directory/dir.h"
 #include "script/scr.h"
 
 struct ctx {
 	struct dir_follower follower;
+	struct dir_audit audit;
 };
 
 static void *open_ctx(void)
@@ -84,6 +86,51 @@
 	print(ctx, out);
 }
 
+/* doubt: the source may have stopped responding */
+static void cmd_doubt(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	dir_doubt_source(&ctx->follower);
+	print(ctx, out);
+}
+
+static void print_audit(const struct dir_audit *audit, struct gb_buf *out)
+{
+	gb_time due = dir_audit_due(audit);
+
+	if (due == GB_NEVER)
+		gb_buf_add(out, GB_STR("nothing missing\n"));
+	else
+		gb_buf_addf(out, "missing, due_ms=%lld\n",
+			    (long long)(due / GB_MSEC));
+}
+
+/* audit-listed rev=: a list was read, at that revision */
+static void cmd_audit_listed(void *data, const struct scr_args *args,
+			     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	dir_audit_restart(&ctx->audit, scr_int(args, GB_STR("rev"), 0));
+	print_audit(&ctx->audit, out);
+}
+
+/* audit-watched at_ms= from= to= changes=: a watch of some kind returned */
+static void cmd_audit_watched(void *data, const struct scr_args *args,
+			      struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	dir_audit_watched(&ctx->audit, at(args),
+			  scr_int(args, GB_STR("from"), 0),
+			  scr_int(args, GB_STR("to"), 0),
+			  scr_int(args, GB_STR("changes"), 0));
+	print_audit(&ctx->audit, out);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct scr_command commands[] = {
@@ -91,6 +138,9 @@
 		{ GB_STR_INIT("watched"), cmd_watched },
 		{ GB_STR_INIT("history-lost"), cmd_lost },
 		{ GB_STR_INIT("failed"), cmd_failed },
+		{ GB_STR_INIT("doubt"), cmd_doubt },
+		{ GB_STR_INIT("audit-listed"), cmd_audit_listed },
+		{ GB_STR_INIT("audit-watched"), cmd_audit_watched },
 	};
 	static const struct scr_suite suite = {
 		.name = "directory",
--- a/packages/event/ev-table.c
+++ b/packages/event/ev-table.c
@@ -190,6 +190,9 @@
 	ROW(EV_MESSAGE_EVICTED, EV_WARNING, "message_evicted",
 	    "Messages in transit took too much memory; the longest incomplete one was given up.",
 	    "bytes", "bytes_of_all"),
+	ROW(EV_WATCH_RENEWED, EV_NOTICE, "watch_renewed",
+	    "A watch of the store was sent again, since its connection may have fallen silent.",
+	    "revision", "waited_us"),
 };
 
 #define ROWS (sizeof(rows) / sizeof(rows[0]))
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -59,8 +59,10 @@
 	end_list(follower, &page);
 	dir_list_done(&follower->state, ht_now(), page.revision, page.more,
 		      page.last_name);
-	if (!page.more)
+	if (!page.more) {
 		mir_list_end(follower->mirror, follower->state.revision);
+		fr_silence_listed(follower);
+	}
 	gb_str_free(&page.last_name);
 	return 0;
 }
@@ -77,6 +79,7 @@
 		dir_history_lost(&follower->state, now);
 		return -1;
 	}
+	fr_silence_watched(follower, &page);
 	dir_watch_done(&follower->state, now, page.revision, page.objects_len);
 	mir_commit_changes(follower->mirror, follower->state.revision);
 	return 0;
@@ -115,7 +118,7 @@
 		fr_log_event(follower->fr, &event);
 }
 
-static void arm_timer(struct fr_follower *follower, gb_time at)
+void fr_schedule_step(struct fr_follower *follower, gb_time at)
 {
 	gb_time left = at - ht_now();
 
@@ -130,7 +133,7 @@
 	fr_mirror_notify(follower);
 }
 
-static void cancel_call(struct fr_follower *follower)
+void fr_cancel_step(struct fr_follower *follower)
 {
 	if (!follower->call_running)
 		return;
@@ -155,8 +158,8 @@
 		    !follower->source_is_store ||
 		    now - follower->requested_at < HEALTHY_STORE_LATENCY)
 			continue;
-		cancel_call(follower);
-		arm_timer(follower, now);
+		fr_cancel_step(follower);
+		fr_schedule_step(follower, now);
 	}
 }
 
@@ -186,7 +189,7 @@
 	}
 	gb_buf_free(&follower->call.body);
 	mem_set_synced(follower->fr->members, fr_is_synced(follower->fr));
-	arm_timer(follower, follower->state.due_at);
+	fr_schedule_step(follower, follower->state.due_at);
 }
 
 static bool on_encode(struct ht_call *call, struct gb_buf *out)
@@ -243,12 +246,15 @@
 	if (follower->call_running) {
 		ht_call_cancel(&follower->call);
 		finish_step(follower, HT_LOST);
+		fr_silence_suspect_others(follower);
 		return;
 	}
 	follower->call_running = true;
 	follower->requested_at = ht_now();
 	source = fr_choose_source(follower, ht_now());
-	arm_timer(follower, ht_now() + dir_step_timeout(&follower->state));
+	fr_silence_source_chosen(follower);
+	fr_schedule_step(follower,
+			 ht_now() + dir_step_timeout(&follower->state));
 	ht_call_start(&follower->call, source, &call_ops);
 }
 
@@ -267,8 +273,8 @@
 	follower->hinted_peer = peer;
 	if (follower->call_running && !follower->source_is_store)
 		return;
-	cancel_call(follower);
-	arm_timer(follower, ht_now());
+	fr_cancel_step(follower);
+	fr_schedule_step(follower, ht_now());
 }
 
 void fr_directory_try_member(struct fr *fr, struct gb_str member)
@@ -285,6 +291,7 @@
 
 	if (ht_parse_address(fr->settings.store_address, &addr))
 		return UV_EINVAL;
+	fr_silence_init(fr);
 	fr->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (int kind = 0; kind < FR_KINDS; kind++) {
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -6,13 +6,19 @@
  *	fr-internal - the state of one VM, within the package
  */
 
+#include "directory/dir-audit.h"
 #include "directory/dir.h"
 #include "event/ev-log.h"
 #include "front/fr.h"
 #include "member/mem.h"
 
-/* The kind whose watches show whether the store can be reached. */
+/*
+ * The watches of this kind show whether the store can be reached, and whether
+ * those of the others have fallen silent (fr-silence.c). Meanwhile the others
+ * wait for longer, which saves calls to the store.
+ */
 #define FR_LIVENESS_KIND FR_UPSTREAMS
+#define FR_WATCH_WAIT_QUIET (10 * GB_SEC)
 
 enum fr_phase {
 	FR_RUNNING,
@@ -86,6 +92,8 @@
 	struct ht_target *store_target;
 	GHashTable *peers; /* control address of a VM to struct fr_peer */
 	struct fr_follower followers[FR_KINDS];
+	struct dir_audit audit; /* of the watches of the store */
+	uv_timer_t audit_timer;
 };
 
 /* A caller's request in flight. */
@@ -127,6 +135,29 @@
 bool fr_is_synced(const struct fr *fr);
 bool fr_routes_may_be_stale(const struct fr *fr);
 
+/* Ends the call of a follower, if any, without a result. */
+void fr_cancel_step(struct fr_follower *follower);
+
+/* Starts the next step of a follower at that time. */
+void fr_schedule_step(struct fr_follower *follower, gb_time at);
+
+/* Watches of the store that may have fallen silent. */
+void fr_silence_init(struct fr *fr);
+
+/* Records a list, or the answer to a watch, before the follower advances. */
+void fr_silence_listed(struct fr_follower *follower);
+void fr_silence_watched(struct fr_follower *follower,
+			const struct fr_page *page);
+
+/* Renews the watches of the other kinds after one had no answer. */
+void fr_silence_suspect_others(const struct fr_follower *silent);
+
+/* Tells whether a watch of the store would show that others are silent. */
+bool fr_silence_is_noticed(const struct fr *fr);
+
+/* Renews watches whose silence is not noticed any more, by a new source. */
+void fr_silence_source_chosen(const struct fr_follower *follower);
+
 struct fr_peer *fr_get_peer(struct fr *fr, struct gb_str member);
 
 /* Chooses the source of the next step: the store, or a VM that follows it. */
--- /dev/null
+++ b/packages/front/fr-silence.c
@@ -0,0 +1,108 @@
+#include "front/fr-internal.h"
+
+/*
+ * A connection may fall silent without a reset. A watch that waits for changes
+ * then looks like one to which nothing has changed, so it is ended and sent
+ * again over another connection, to be answered at once.
+ */
+static void renew_watch(struct fr_follower *follower)
+{
+	const struct ev_event event = {
+		.code = EV_WATCH_RENEWED,
+		.num1 = follower->state.revision,
+		.num2 = ht_now() - follower->requested_at,
+		.detail = follower->fr->platform->kind_names[follower->kind],
+	};
+
+	fr_log_event(follower->fr, &event);
+	fr_cancel_step(follower);
+	dir_doubt_source(&follower->state);
+	fr_schedule_step(follower, ht_now());
+}
+
+/* Tells whether a watch waits at the store, for at least that time in all. */
+static bool waits_for_store(const struct fr_follower *follower,
+			    gb_time min_wait)
+{
+	return follower->call_running && follower->source_is_store &&
+	       follower->state.step == DIR_WATCH &&
+	       follower->state.watch_wait >= min_wait;
+}
+
+static void renew_others(const struct fr_follower *follower, gb_time min_wait)
+{
+	struct fr *fr = follower->fr;
+
+	for (int kind = 0; kind < FR_KINDS; kind++)
+		if (kind != (int)follower->kind &&
+		    waits_for_store(&fr->followers[kind], min_wait))
+			renew_watch(&fr->followers[kind]);
+}
+
+void fr_silence_suspect_others(const struct fr_follower *silent)
+{
+	if (silent->source_is_store)
+		renew_others(silent, GB_MSEC);
+}
+
+bool fr_silence_is_noticed(const struct fr *fr)
+{
+	const struct fr_follower *live = &fr->followers[FR_LIVENESS_KIND];
+
+	return live->source_is_store && live->state.synced &&
+	       !live->state.failures;
+}
+
+void fr_silence_source_chosen(const struct fr_follower *follower)
+{
+	if (follower->kind == FR_LIVENESS_KIND && !follower->source_is_store)
+		renew_others(follower, FR_WATCH_WAIT_QUIET);
+}
+
+/* Renews the watches that have not returned the missing changes. */
+static void on_changes_missing(uv_timer_t *timer)
+{
+	struct fr *fr = timer->data;
+
+	for (int kind = 0; kind < FR_KINDS; kind++)
+		if (fr->followers[kind].state.revision < fr->audit.newest &&
+		    waits_for_store(&fr->followers[kind], GB_MSEC))
+			renew_watch(&fr->followers[kind]);
+	dir_audit_restart(&fr->audit, 0);
+}
+
+static void arm_audit_timer(struct fr *fr)
+{
+	gb_time due = dir_audit_due(&fr->audit), left = due - ht_now();
+
+	if (due == GB_NEVER)
+		uv_timer_stop(&fr->audit_timer);
+	else
+		uv_timer_start(&fr->audit_timer, on_changes_missing,
+			       left > 0 ? (left + GB_MSEC - 1) / GB_MSEC : 0,
+			       0);
+}
+
+void fr_silence_listed(struct fr_follower *follower)
+{
+	struct fr *fr = follower->fr;
+
+	dir_audit_restart(&fr->audit, follower->state.revision);
+	arm_audit_timer(fr);
+}
+
+void fr_silence_watched(struct fr_follower *follower,
+			const struct fr_page *page)
+{
+	struct fr *fr = follower->fr;
+
+	dir_audit_watched(&fr->audit, ht_now(), follower->state.revision,
+			  page->revision, page->objects_len);
+	arm_audit_timer(fr);
+}
+
+void fr_silence_init(struct fr *fr)
+{
+	uv_timer_init(fr->loop, &fr->audit_timer);
+	fr->audit_timer.data = fr;
+}
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -16,20 +16,16 @@
 #define CONNECT_TIMEOUT_PEER (200 * GB_MSEC)
 
 /*
- * How long a source may hold a watch without changes. A dead connection is
- * noticed only when the wait should have ended. VMs that follow this one must
- * learn of that early enough to get a new configuration within its time bound,
- * so a relayed watch has the shorter wait.
+ * How long a source may hold a watch without changes. A silent connection is
+ * noticed only when the wait should have ended. A configuration must be in
+ * force 3 s after it was written, and 4 s after its VM lost its connections, so
+ * the wait, the time to notice and a further call must fit into that. VMs that
+ * follow this one learn of the change later still, so a relayed watch has the
+ * shorter wait.
  */
-#define WATCH_WAIT_DIRECT (5 * GB_SEC)
+#define WATCH_WAIT_DIRECT (2400 * GB_MSEC)
 #define WATCH_WAIT_RELAYED (1500 * GB_MSEC)
 
-/*
- * The watches of one kind show whether the store can be reached; those of the
- * others may wait for longer, which saves calls to the store.
- */
-#define WATCH_WAIT_RELAYED_QUIET (3 * GB_SEC)
-
 /*
  * Time for which a VM is not used as a source after it did not answer, or
  * answered that it is stale. The membership takes longer than this to declare a
@@ -168,10 +164,11 @@
 /* Time for which the store may hold a watch of this VM. */
 static gb_time direct_watch_wait(const struct fr_follower *follower)
 {
-	if (mem_all_are_readers(follower->fr->members))
-		return WATCH_WAIT_DIRECT;
-	return follower->kind == FR_LIVENESS_KIND ? WATCH_WAIT_RELAYED
-						  : WATCH_WAIT_RELAYED_QUIET;
+	if (follower->kind != FR_LIVENESS_KIND &&
+	    fr_silence_is_noticed(follower->fr))
+		return FR_WATCH_WAIT_QUIET;
+	return mem_all_are_readers(follower->fr->members) ? WATCH_WAIT_DIRECT
+							  : WATCH_WAIT_RELAYED;
 }
 
 struct ht_target *fr_choose_source(struct fr_follower *follower, gb_time now)
