suspect, front: add up the runs that different VMs have lost

A request that may run only once and crashes upstreams crashed six before it was quarantined, with four VMs; more VMs, more upstreams.

Cause: a VM tells others of a request once it has lost two runs of it. A request that is not sent again by its VM is lost once at each VM, and nobody adds up.

Change: a VM tells the first VM by rendezvous hashing of the fingerprint of each first lost run, at its next tick, unless an answer has come by then, and of a later answer. That VM counts, and tells all once it counts two. Several runs that are lost together still count as one crash, by the times at which they were sent.

--- a/packages/forward/fw-suspect.c
+++ b/packages/forward/fw-suspect.c
@@ -31,6 +31,9 @@
 
 void fw_clear_suspicion(const struct fw_request *request, gb_time now)
 {
-	if (request->engine->suspects)
-		sus_clear(request->engine->suspects, now, request->fingerprint);
+	struct fw_engine *engine = request->engine;
+
+	if (engine->suspects &&
+	    sus_clear(engine->suspects, now, request->fingerprint))
+		engine->ops->report_answer(engine->ctx, request->fingerprint);
 }
--- a/packages/forward/tests/forward-test.c
+++ b/packages/forward/tests/forward-test.c
@@ -129,6 +129,14 @@
 	print_line(ctx, "tells other VMs of %u crashes", crashes);
 }
 
+static void on_report_answer(void *data, uint64_t fingerprint)
+{
+	struct ctx *ctx = data;
+
+	(void)fingerprint;
+	print_line(ctx, "tells that a request with crashes was answered");
+}
+
 static uint32_t live_vms(void *ctx)
 {
 	(void)ctx;
@@ -148,8 +156,8 @@
 					   .cancel = on_cancel,
 					   .reply = on_reply,
 					   .event = ignore_event,
-					   .report_crashes =
-						   on_report_crashes };
+					   .report_crashes = on_report_crashes,
+					   .report_answer = on_report_answer };
 	static const struct fl_ops fleet_ops = {
 		.upstream_reset = ignore_upstream_reset
 	};
--- a/packages/front/fr-caller.c
+++ b/packages/front/fr-caller.c
@@ -305,6 +305,7 @@
 	.reply = on_reply,
 	.event = on_event,
 	.report_crashes = fr_suspect_announce,
+	.report_answer = fr_suspect_tell_answer,
 };
 
 /* Aborts the requests still in flight, before the process is killed. */
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -193,7 +193,10 @@
 /* Announces to some members how many upstreams a request may have crashed. */
 void fr_suspect_announce(void *ctx, uint64_t fingerprint, uint32_t crashes);
 
-/* Asks another VM for the requests that it suspects, if that is due. */
+/* Tells the VM that adds up the lost runs of a request that it was answered. */
+void fr_suspect_tell_answer(void *ctx, uint64_t fingerprint);
+
+/* Tells other VMs of lost runs, and asks one for what it suspects. */
 void fr_suspect_tick(struct fr *fr);
 
 /* Handles a datagram about requests that crash upstreams; ignores others. */
--- a/packages/front/fr-suspect.c
+++ b/packages/front/fr-suspect.c
@@ -71,6 +71,59 @@
 	gb_buf_free(&bytes);
 }
 
+/*
+ * Sends the end of a run to the VM that adds up the lost runs of this request
+ * at all VMs, unless it is this one. A request that may run only once is lost
+ * once at each VM that gets it, and no VM alone would see two in a row.
+ */
+static void tell_run_end(struct fr *fr, uint64_t fingerprint, bool answered,
+			 gb_time age)
+{
+	const struct msg msg = { .kind = MSG_RUN_END,
+				 .run_end = { .fingerprint = fingerprint,
+					      .answered = answered,
+					      .age = age } };
+	struct gb_buf bytes = GB_BUF_INIT;
+	struct gb_str member;
+
+	if (!mem_rank(fr->members, MEM_ALL, fingerprint) ||
+	    !mem_pick(fr->members, MEM_ALL, fingerprint, 1, &member))
+		return;
+	if (!wire_encode(&msg, &bytes))
+		fr_member_send(fr, member, gb_buf_str(&bytes));
+	gb_buf_free(&bytes);
+}
+
+void fr_suspect_tell_answer(void *ctx, uint64_t fingerprint)
+{
+	tell_run_end(ctx, fingerprint, true, 0);
+}
+
+static void tell_loss(void *ctx, const struct sus_record *record)
+{
+	/* All VMs are told of further crashes at once. */
+	if (record->crashes < FW_CRASHES_REPORTED_MIN)
+		tell_run_end(ctx, record->fingerprint, false, record->age);
+}
+
+/* Adds up the runs of a request that were lost at different VMs. */
+static void learn_run_end(struct fr *fr, const struct msg_run_end *m)
+{
+	struct sus_table *suspects = fr->engine.suspects;
+	gb_time now = ht_now();
+	uint32_t crashes;
+
+	if (m->answered) {
+		sus_clear(suspects, now, m->fingerprint);
+		return;
+	}
+	if (!sus_run_lost(suspects, now, m->fingerprint, now - m->age))
+		return;
+	crashes = sus_crashes(suspects, m->fingerprint);
+	if (crashes >= FW_CRASHES_REPORTED_MIN)
+		fr_suspect_announce(fr, m->fingerprint, crashes);
+}
+
 static void learn_crashes(struct fr *fr, const struct msg_quarantine *m)
 {
 	const struct sus_record record = { .fingerprint = m->fingerprint,
@@ -158,15 +211,16 @@
 			answer_ask(fr, from);
 		else if (msg->kind == MSG_SUSPECTS)
 			learn_suspects(fr, &msg->suspects);
+		else if (msg->kind == MSG_RUN_END)
+			learn_run_end(fr, &msg->run_end);
 		msg_free(msg);
 	}
 	wire_reader_free(&reader);
 }
 
-void fr_suspect_tick(struct fr *fr)
+static void ask_for_suspects(struct fr *fr, gb_time now)
 {
 	const struct msg msg = { .kind = MSG_SUSPECTS_ASK };
-	gb_time now = ht_now();
 	gb_time interval = now - fr->started_at < START_TIME
 				   ? ASK_INTERVAL_AT_START
 				   : ASK_INTERVAL;
@@ -182,3 +236,11 @@
 	if (!ht_parse_address(member, &to))
 		send_message(fr, &msg, (struct sockaddr *)&to);
 }
+
+void fr_suspect_tick(struct fr *fr)
+{
+	gb_time now = ht_now();
+
+	sus_each_new_loss(fr->engine.suspects, now, tell_loss, fr);
+	ask_for_suspects(fr, now);
+}
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -73,6 +73,7 @@
 	[MSG_SUSPECTS] = { .name = GB_STR_INIT("suspects"),
 			   .copy_data = copy_suspects_data,
 			   .free_data = free_suspects_data },
+	[MSG_RUN_END] = { .name = GB_STR_INIT("run_end") },
 };
 
 static void copy_batch_data(struct msg *msg)
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -38,6 +38,7 @@
 	MSG_LEAVING,
 	MSG_SUSPECTS_ASK,
 	MSG_SUSPECTS,
+	MSG_RUN_END,
 	MSG_KINDS
 };
 
@@ -228,6 +229,16 @@
 	uint32_t suspects_len;
 };
 
+/*
+ * The end of a run of a request that may crash upstreams, told to the one VM
+ * that adds up the lost runs of all.
+ */
+struct msg_run_end {
+	uint64_t fingerprint;
+	bool answered; /* otherwise it was lost */
+	gb_time age; /* time since it was sent */
+};
+
 struct msg {
 	enum msg_kind kind;
 	uint32_t from; /* id of the sending VM */
@@ -249,6 +260,7 @@
 		struct msg_join join;
 		struct msg_leaving leaving;
 		struct msg_suspects suspects;
+		struct msg_run_end run_end;
 	};
 };
 
--- a/packages/suspect/sus.c
+++ b/packages/suspect/sus.c
@@ -12,6 +12,9 @@
 	uint32_t crashes;
 	gb_time crashed_at; /* last crash */
 	gb_time cleared_at; /* last answer after a crash */
+	gb_time lost_run_sent_at;
+	bool loss_is_new; /* sus_each_new_loss() has not visited it */
+	bool is_shared; /* other VMs may know of the crashes */
 	gb_time quarantined_until;
 	GList link; /* in good or not_good, oldest first */
 };
@@ -199,24 +202,31 @@
 bool sus_run_lost(struct sus_table *table, gb_time now, uint64_t fingerprint,
 		  gb_time sent_at)
 {
-	const struct entry *entry = find_entry(table, fingerprint);
+	struct entry *entry = find_or_add_entry(table, fingerprint);
 
-	if (entry && sent_at < entry->crashed_at)
+	if (sent_at < entry->crashed_at)
 		return false;
 	sus_run_crashed(table, now, fingerprint);
+	entry->lost_run_sent_at = sent_at;
+	entry->loss_is_new = true;
 	return true;
 }
 
-void sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint)
+bool sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint)
 {
 	struct entry *entry = find_entry(table, fingerprint);
+	bool was_shared;
 
 	if (!entry)
-		return;
+		return false;
+	was_shared = entry->is_shared;
 	/* The entry stays, since other VMs may still tell of its crashes. */
 	entry->crashes = 0;
 	entry->cleared_at = now;
+	entry->loss_is_new = false;
+	entry->is_shared = false;
 	set_state(table, entry, SUS_GOOD);
+	return was_shared;
 }
 
 void sus_run_abandoned(struct sus_table *table, uint64_t fingerprint)
@@ -244,6 +254,8 @@
 		return false;
 	entry = find_or_add_entry(table, record->fingerprint);
 	set_crashes(table, crashed_at, entry, record->crashes);
+	entry->loss_is_new = false;
+	entry->is_shared = true;
 	return true;
 }
 
@@ -265,6 +277,28 @@
 	}
 }
 
+void sus_each_new_loss(struct sus_table *table, gb_time now,
+		       void (*visit)(void *ctx,
+				     const struct sus_record *record),
+		       void *ctx)
+{
+	for (const GList *link = table->not_good.head; link;
+	     link = link->next) {
+		struct entry *entry = link->data;
+		const struct sus_record record = {
+			.fingerprint = entry->fingerprint,
+			.crashes = entry->crashes,
+			.age = MAX(now - entry->lost_run_sent_at, 0),
+		};
+
+		if (!entry->loss_is_new)
+			continue;
+		entry->loss_is_new = false;
+		entry->is_shared = true;
+		visit(ctx, &record);
+	}
+}
+
 size_t sus_len(const struct sus_table *table)
 {
 	return g_hash_table_size(table->entries);
--- a/packages/suspect/sus.h
+++ b/packages/suspect/sus.h
@@ -79,8 +79,11 @@
 bool sus_run_lost(struct sus_table *table, gb_time now, uint64_t fingerprint,
 		  gb_time sent_at);
 
-/* Makes a request with crashes good again, since a run had an answer. */
-void sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint);
+/*
+ * Makes a request with crashes good again, since a run had an answer. Returns
+ * whether other VMs may know of the crashes.
+ */
+bool sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint);
 
 /*
  * Merges the crashes seen by another VM. Returns whether there were more, and
@@ -96,6 +99,15 @@
 void sus_each_crashed(const struct sus_table *table, gb_time now,
 		      void (*visit)(void *ctx, const struct sus_record *record),
 		      void *ctx);
+
+/*
+ * Visits each request whose last lost run was not visited before; the age of
+ * the record is the time since that run was sent.
+ */
+void sus_each_new_loss(struct sus_table *table, gb_time now,
+		       void (*visit)(void *ctx,
+				     const struct sus_record *record),
+		       void *ctx);
 size_t sus_len(const struct sus_table *table);
 
 #endif
--- a/packages/suspect/tests/suspect-test.c
+++ b/packages/suspect/tests/suspect-test.c
@@ -65,6 +65,16 @@
 			 out);
 }
 
+/* losses at=: prints the losses that were not printed before */
+static void cmd_losses(void *ctx, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *c = ctx;
+
+	sus_each_new_loss(c->table, scr_int(args, GB_STR("at"), 0),
+			  print_record, out);
+}
+
 /* run fp= at= EVENT...: applies events to a fingerprint and prints its state */
 static void cmd_run(void *ctx, const struct scr_args *args, struct gb_buf *out)
 {
@@ -100,6 +110,7 @@
 	{ .name = GB_STR_INIT("table"), .run = cmd_table },
 	{ .name = GB_STR_INIT("run"), .run = cmd_run },
 	{ .name = GB_STR_INIT("records"), .run = cmd_records },
+	{ .name = GB_STR_INIT("losses"), .run = cmd_losses },
 };
 
 int main(int argc, char **argv)
--- a/packages/wire/wire-row.c
+++ b/packages/wire/wire-row.c
@@ -19,6 +19,7 @@
 	[MSG_LEAVING] = { .xdr = wire_xdr_leaving },
 	[MSG_SUSPECTS_ASK] = { .xdr = wire_xdr_suspects_ask },
 	[MSG_SUSPECTS] = { .xdr = wire_xdr_suspects },
+	[MSG_RUN_END] = { .xdr = wire_xdr_run_end },
 };
 
 const struct wire_row *wire_row(uint32_t kind)
--- a/packages/wire/wire-row.h
+++ b/packages/wire/wire-row.h
@@ -52,6 +52,7 @@
 bool_t wire_xdr_leaving(XDR *xdrs, struct wire_ctx *ctx);
 bool_t wire_xdr_suspects_ask(XDR *xdrs, struct wire_ctx *ctx);
 bool_t wire_xdr_suspects(XDR *xdrs, struct wire_ctx *ctx);
+bool_t wire_xdr_run_end(XDR *xdrs, struct wire_ctx *ctx);
 void wire_prepare_config(struct wire_ctx *ctx);
 
 /* Values. They fail if a decoded value is out of range. */
--- a/packages/wire/wire-suspect.c
+++ b/packages/wire/wire-suspect.c
@@ -43,3 +43,12 @@
 			return FALSE;
 	return TRUE;
 }
+
+bool_t wire_xdr_run_end(XDR *xdrs, struct wire_ctx *ctx)
+{
+	struct msg_run_end *m = &ctx->msg->run_end;
+
+	return wire_xdr_u64(xdrs, &m->fingerprint) &&
+	       wire_xdr_bool(xdrs, &m->answered) &&
+	       wire_xdr_i64(xdrs, &m->age) && m->age >= 0;
+}
