forward, front: log the fingerprint and the crashes of a request once

The events suspect_crash and suspect_quarantined had both numbers twice on role front, first as 0: the keys of the event's row, then the values as text. Decisions of the package forward now carry the two numbers of an event.

--- a/packages/forward/fw-engine.c
+++ b/packages/forward/fw-engine.c
@@ -120,8 +120,11 @@
 	len = vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
 	len = CLAMP(len, 0, (int)sizeof(text) - 1);
-	engine->ops->event(engine->ctx, code, request, upstream,
-			   (struct gb_str){ text, len });
+	engine->ops->event(engine->ctx,
+			   &(struct fw_event){ .code = code,
+					       .request = request,
+					       .upstream = upstream,
+					       .detail = { text, len } });
 }
 
 struct gb_str fw_reason_name(enum fw_reason reason)
--- a/packages/forward/fw-suspect.c
+++ b/packages/forward/fw-suspect.c
@@ -19,11 +19,16 @@
 			  call->sent_at))
 		return;
 	crashes = sus_crashes(engine->suspects, request->fingerprint);
-	fw_emit_event(request,
-		      fw_is_quarantined(request, now) ? EV_SUSPECT_QUARANTINED
-						      : EV_SUSPECT_CRASH,
-		      call->upstream, "fingerprint=%016llx crashes=%u",
-		      (unsigned long long)request->fingerprint, crashes);
+	engine->ops->event(engine->ctx,
+			   &(struct fw_event){
+				   .code = fw_is_quarantined(request, now)
+						   ? EV_SUSPECT_QUARANTINED
+						   : EV_SUSPECT_CRASH,
+				   .request = request,
+				   .upstream = call->upstream,
+				   .num1 = request->fingerprint,
+				   .num2 = crashes,
+			   });
 	if (crashes >= FW_CRASHES_REPORTED_MIN)
 		engine->ops->report_crashes(engine->ctx, request->fingerprint,
 					    crashes);
--- a/packages/forward/fw.h
+++ b/packages/forward/fw.h
@@ -126,6 +126,16 @@
 	uint32_t parts_missing;
 };
 
+/* A decision, for the log. */
+struct fw_event {
+	enum ev_code code;
+	const struct fw_request *request;
+	const struct fl_upstream *upstream; /* NULL for none */
+	int64_t num1; /* the row of the code has the keys of both numbers */
+	int64_t num2;
+	struct gb_str detail; /* further "key=value" pairs */
+};
+
 struct fw_ops {
 	/* Starts a call; fw_call_done() reports its end, not from within. */
 	void (*send)(void *ctx, struct fw_call *call);
@@ -133,10 +143,7 @@
 	/* Answers the caller; the request is freed later, not from within. */
 	void (*reply)(void *ctx, struct fw_request *request,
 		      const struct fw_reply *reply);
-	/* Reports a decision; detail holds further "key=value" pairs. */
-	void (*event)(void *ctx, enum ev_code code,
-		      const struct fw_request *request,
-		      const struct fl_upstream *upstream, struct gb_str detail);
+	void (*event)(void *ctx, const struct fw_event *event);
 	/* Tells other VMs how many upstreams a request may have crashed. */
 	void (*report_crashes)(void *ctx, uint64_t fingerprint,
 			       uint32_t crashes);
--- a/packages/forward/tests/forward-ignore.h
+++ b/packages/forward/tests/forward-ignore.h
@@ -8,16 +8,10 @@
 
 #include "forward/fw.h"
 
-static void ignore_event(void *ctx, enum ev_code code,
-			 const struct fw_request *request,
-			 const struct fl_upstream *upstream,
-			 struct gb_str detail)
+static void ignore_event(void *ctx, const struct fw_event *event)
 {
 	(void)ctx;
-	(void)code;
-	(void)request;
-	(void)upstream;
-	(void)detail;
+	(void)event;
 }
 
 static void ignore_upstream_reset(void *ctx, struct fl_upstream *upstream)
--- a/packages/front/fr-caller.c
+++ b/packages/front/fr-caller.c
@@ -284,16 +284,17 @@
 	gb_buf_free(&fields);
 }
 
-static void on_event(void *ctx, enum ev_code code,
-		     const struct fw_request *request,
-		     const struct fl_upstream *upstream, struct gb_str detail)
+static void on_event(void *ctx, const struct fw_event *decision)
 {
+	const struct fl_upstream *upstream = decision->upstream;
 	const struct ev_event event = {
-		.code = code,
-		.request = request->id,
+		.code = decision->code,
+		.request = decision->request->id,
 		.upstream = upstream ? upstream->id : GB_STR(""),
 		.dc = upstream ? upstream->dc : GB_STR(""),
-		.detail = detail,
+		.num1 = decision->num1,
+		.num2 = decision->num2,
+		.detail = decision->detail,
 	};
 
 	fr_log_event(ctx, &event);
