--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -144,8 +144,10 @@
 /* Watches of the store that may have fallen silent. */
 void fr_silence_init(struct fr *fr);
 
-/* Records a list, or the answer to a watch, before the follower advances. */
+/* Records that a list was read to its end. */
 void fr_silence_listed(struct fr_follower *follower);
+
+/* Records the answer to a watch; called before the follower takes it over. */
 void fr_silence_watched(struct fr_follower *follower,
 			const struct fr_page *page);
 
--- a/packages/front/fr-suspect.c
+++ b/packages/front/fr-suspect.c
@@ -145,8 +145,10 @@
 static void send_answer(struct answer *answer)
 {
 	const struct msg msg = { .kind = MSG_SUSPECTS,
-				 .suspects = { answer->suspects,
-					       answer->suspects_len } };
+				 .suspects = {
+					 .suspects = answer->suspects,
+					 .suspects_len = answer->suspects_len,
+				 } };
 
 	send_message(answer->fr, &msg, answer->to);
 	answer->suspects_len = 0;
--- a/packages/http/ht-client.h
+++ b/packages/http/ht-client.h
@@ -61,8 +61,8 @@
 	struct ht_link *link; /* NULL while it waits for a connection */
 	GList waiting_link; /* in target->waiting_calls */
 	bool high_priority; /* queued first; set before ht_call_start() */
-	/* Equal for requests with the same ID; 0: none. Set like the above. */
-	uint64_t key;
+	/* equal for requests with the same ID; set before ht_call_start() */
+	uint64_t key; /* 0: none */
 	bool sent;
 	bool conn_reused; /* its connection served earlier calls */
 	struct gb_buf body; /* of the response; freed by the call's owner */
--- a/tests/fuzz/fz-page.c
+++ b/tests/fuzz/fz-page.c
@@ -1,6 +1,7 @@
 #include "fuzz/fz.h"
 
 #include "platform/pf.h"
+#include "platform/tests/objects-ignore.h"
 
 /* Relayed objects of a page, as a mirror would send them. */
 struct relay {
@@ -44,31 +45,14 @@
 	relay->objects_len++;
 }
 
-static void on_object_kept(void *ctx, enum fr_object_kind kind,
-			   struct gb_str name)
-{
-	(void)ctx;
-	(void)kind;
-	(void)name;
-}
-
-static void on_invalid_object(void *ctx, enum fr_object_kind kind,
-			      struct gb_str name, const struct gb_error *error)
-{
-	(void)ctx;
-	(void)kind;
-	(void)name;
-	(void)error;
-}
-
 static const struct fr_object_ops object_ops = {
 	.routes = on_routes,
 	.upstream = on_upstream,
 	.upstream_removed = on_upstream_removed,
 	.dc_exclusion = on_dc_exclusion,
 	.raw_object = on_raw_object,
-	.object_kept = on_object_kept,
-	.invalid_object = on_invalid_object,
+	.object_kept = ignore_object_kept,
+	.invalid_object = ignore_invalid_object,
 };
 
 /* Reads the page, then the page of changes that a mirror makes of it. */
