--- a/Makefile
+++ b/Makefile
@@ -150,7 +150,7 @@
 asan:
 	$(MAKE) -j8 BUILD=build-asan CFLAGS="-O1 -g" \
 		SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer" \
-		all unit scenario process emulate
+		all unit scenario process emulate soak
 
 # The seed that every run of the checks plays; TIME is the number of seconds.
 FUZZ_SEED = 1
