http: keep a connection while its answer is being written

A client that reads slowly could lose the end of a large answer, at a planned stop or by the idle timeout: both closed a connection between requests without looking at an answer that was still being written. The review saw it by reading.

Change: a connection with an unwritten rest is not idle, and its client may take 30 s to read it.

Test, red before: http/tests/server. With an answer of 16 MiB the connection was closed by the idle timeout, and the client had less than the whole.

--- a/packages/http/ht-server.c
+++ b/packages/http/ht-server.c
@@ -16,6 +16,9 @@
 /* From the first byte of a request to the end of its body. */
 #define BODY_TIMEOUT (30 * GB_SEC)
 
+/* Time that a client may take to read an answer. */
+#define WRITE_TIMEOUT (30 * GB_SEC)
+
 struct ht_conn {
 	struct ht_server *server;
 	uv_tcp_t tcp;
@@ -27,6 +30,7 @@
 	bool closed;
 	bool dispatching; /* inside read_requests(), which must not recurse */
 	bool has_answered; /* has served at least one request */
+	uint32_t pending_writes; /* replies that are not written as a whole */
 	gb_time handshake_rtt; /* round-trip time measured by the kernel */
 	gb_time wait_begin; /* of the idle time or an incomplete request */
 };
@@ -128,6 +132,7 @@
 	ht_memory_hold(&write->holder, 0);
 	gb_buf_free(&write->bytes);
 	g_free(write);
+	conn->pending_writes--;
 	if (conn->closed)
 		return;
 	if (status || close_after)
@@ -158,10 +163,12 @@
 	write->holder.memory = conn->server->memory;
 	ht_memory_hold(&write->holder, bytes->cap);
 	buf = uv_buf_init(bytes->ptr + len, bytes->len - len);
+	conn->pending_writes++;
 	if (uv_write(&write->req, stream, &buf, 1, on_written)) {
 		ht_memory_hold(&write->holder, 0);
 		gb_buf_free(&write->bytes);
 		g_free(write);
+		conn->pending_writes--;
 		close_conn(conn);
 	}
 }
@@ -347,6 +354,14 @@
 			 on_connection);
 }
 
+/* A client that reads slowly may still read the end of its answer. */
+static gb_time idle_timeout(const struct ht_conn *conn)
+{
+	gb_time timeout = conn->server->limits.idle_timeout;
+
+	return conn->pending_writes ? MAX(timeout, WRITE_TIMEOUT) : timeout;
+}
+
 /* Replies 408 to an incomplete request; closes an idle connection silently. */
 static void close_if_expired(struct ht_conn *conn, gb_time now)
 {
@@ -360,7 +375,7 @@
 		if (age >
 		    (conn->reader.parsed ? limits->head_timeout : BODY_TIMEOUT))
 			reject_request(conn, 408);
-	} else if (age > limits->idle_timeout) {
+	} else if (age > idle_timeout(conn)) {
 		close_conn(conn);
 	}
 }
@@ -386,7 +401,8 @@
 
 static bool is_idle(const struct ht_conn *conn, gb_time now)
 {
-	if (conn->exchange || conn->reader.in.len || has_unread_bytes(conn))
+	if (conn->exchange || conn->reader.in.len || conn->pending_writes ||
+	    has_unread_bytes(conn))
 		return false;
 	return conn->has_answered ||
 	       now - conn->wait_begin >= FIRST_REQUEST_TIME;
--- /dev/null
+++ b/packages/http/tests/server-test.c
@@ -0,0 +1,182 @@
+#include "http/ht-server.h"
+#include "script/scr.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Bytes of an answer, more than the buffers of a connection hold. */
+#define ANSWER_BYTES (16 * 1024 * 1024)
+
+/* Runs a server on a loopback address; the script plays one client. */
+struct ctx {
+	uv_loop_t loop;
+	struct ht_server server;
+	uint32_t port;
+	int client;
+};
+
+static void on_request(void *data, struct ht_exchange *exchange)
+{
+	char *body = g_malloc0(ANSWER_BYTES);
+
+	(void)data;
+	ht_reply(exchange, &(struct ht_reply){
+				   .status = 200,
+				   .body = { body, ANSWER_BYTES },
+			   });
+	g_free(body);
+}
+
+static void on_disconnected(void *data, struct ht_exchange *exchange)
+{
+	(void)data;
+	(void)exchange;
+}
+
+static void on_bad_request(void *data, int status)
+{
+	(void)data;
+	(void)status;
+}
+
+static const struct ht_server_ops server_ops = {
+	.request = on_request,
+	.disconnected = on_disconnected,
+	.bad_request = on_bad_request,
+};
+
+static void run_loop(struct ctx *ctx)
+{
+	for (int i = 0; i < 5; i++)
+		uv_run(&ctx->loop, UV_RUN_NOWAIT);
+}
+
+static uint32_t bound_port(const struct ctx *ctx)
+{
+	struct sockaddr_in addr;
+	int len = sizeof(addr);
+
+	uv_tcp_getsockname(&ctx->server.listener, (struct sockaddr *)&addr,
+			   &len);
+	return ntohs(addr.sin_port);
+}
+
+static void *open_ctx(void)
+{
+	struct ctx *ctx = g_new0(struct ctx, 1);
+
+	uv_loop_init(&ctx->loop);
+	ctx->client = -1;
+	ctx->server.limits = (struct ht_limits){ .head_max = 16384,
+						 .body_max = 16384,
+						 .head_timeout = GB_SEC,
+						 .idle_timeout = GB_SEC };
+	g_assert(!ht_server_start(&ctx->server, &ctx->loop,
+				  GB_STR("127.0.0.1:0"), &server_ops, ctx));
+	ctx->port = bound_port(ctx);
+	return ctx;
+}
+
+static void close_ctx(void *data)
+{
+	struct ctx *ctx = data;
+
+	if (ctx->client >= 0)
+		close(ctx->client);
+	ht_server_stop(&ctx->server);
+	uv_run(&ctx->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&ctx->loop);
+	g_free(ctx);
+}
+
+/* Sends a request and lets the server answer; the client reads nothing yet. */
+static void cmd_ask(void *data, const struct scr_args *args, struct gb_buf *out)
+{
+	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+	struct ctx *ctx = data;
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_port = htons(ctx->port) };
+
+	(void)args;
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (ctx->client >= 0)
+		close(ctx->client);
+	ctx->client = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert(!connect(ctx->client, (struct sockaddr *)&addr, sizeof(addr)));
+	g_assert(send(ctx->client, request, strlen(request), 0) > 0);
+	run_loop(ctx);
+	gb_buf_addf(out, "connections=%u\n", ctx->server.conns.length);
+}
+
+/* stop: closes idle connections, as a process that is stopping does */
+static void cmd_stop(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	ht_server_close_idle(&ctx->server);
+	run_loop(ctx);
+	gb_buf_addf(out, "connections=%u\n", ctx->server.conns.length);
+}
+
+/* expire s=: closes what is idle for too long, that many seconds from now */
+static void cmd_expire(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	gb_time age = scr_int(args, GB_STR("s"), 0) * GB_SEC;
+	struct ctx *ctx = data;
+
+	ht_server_close_expired(&ctx->server, ht_now() + age);
+	run_loop(ctx);
+	gb_buf_addf(out, "connections=%u\n", ctx->server.conns.length);
+}
+
+/* read: the client reads until nothing more comes */
+static void cmd_read(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	static char bytes[256 * 1024];
+	struct ctx *ctx = data;
+	size_t total = 0;
+	int empty = 0;
+
+	(void)args;
+	while (empty < 20) {
+		ssize_t len =
+			recv(ctx->client, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+		uv_run(&ctx->loop, UV_RUN_NOWAIT);
+		if (len > 0) {
+			total += len;
+			empty = 0;
+		} else {
+			empty++;
+			g_usleep(1000);
+		}
+	}
+	gb_buf_addf(out, "%s\n", total > ANSWER_BYTES ? "whole" : "cut");
+}
+
+int main(int argc, char **argv)
+{
+	static const struct scr_command commands[] = {
+		{ GB_STR_INIT("ask"), cmd_ask },
+		{ GB_STR_INIT("stop"), cmd_stop },
+		{ GB_STR_INIT("expire"), cmd_expire },
+		{ GB_STR_INIT("read"), cmd_read },
+	};
+	static const struct scr_suite suite = {
+		.name = "http-server",
+		.folder = "packages/http/tests/server",
+		.commands = commands,
+		.commands_len = G_N_ELEMENTS(commands),
+		.context_new = open_ctx,
+		.context_free = close_ctx,
+	};
+
+	return scr_main(argc, argv, &suite);
+}
