http: closing of idle connections in a file of its own

What closes connections that are idle, or whose client takes too long, moves to ht-server-idle.c; the connection to ht-conn.h.

--- a/packages/http/ht-server.c
+++ b/packages/http/ht-server.c
@@ -1,4 +1,4 @@
-#include "http/ht-server.h"
+#include "http/ht-conn.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -10,31 +10,6 @@
 
 #define LISTEN_BACKLOG 512
 
-/* A client sends its first request within this time, mostly at once. */
-#define FIRST_REQUEST_TIME (300 * GB_MSEC)
-
-/* From the first byte of a request to the end of its body. */
-#define BODY_TIMEOUT (30 * GB_SEC)
-
-/* Time that a client may take to read an answer. */
-#define WRITE_TIMEOUT (30 * GB_SEC)
-
-struct ht_conn {
-	struct ht_server *server;
-	uv_tcp_t tcp;
-	GList link; /* in server->conns */
-	struct ht_reader reader;
-	struct ht_memory_holder holder; /* of an incomplete request */
-	struct ht_exchange *exchange;
-	bool reading;
-	bool closed;
-	bool dispatching; /* inside read_requests(), which must not recurse */
-	bool has_answered; /* has served at least one request */
-	uint32_t pending_writes; /* replies that are not written as a whole */
-	gb_time handshake_rtt; /* round-trip time measured by the kernel */
-	gb_time wait_begin; /* of the idle time or an incomplete request */
-};
-
 /* A reply that did not fit into the socket's send buffer. */
 struct pending_write {
 	uv_write_t req;
@@ -64,8 +39,7 @@
 	g_free(x);
 }
 
-/* Closes the connection and reports it to the user if an exchange runs. */
-static void close_conn(struct ht_conn *conn)
+void ht_conn_close(struct ht_conn *conn)
 {
 	struct ht_exchange *x = conn->exchange;
 
@@ -103,7 +77,7 @@
 	if (!len)
 		return;
 	if (len < 0) {
-		close_conn(conn);
+		ht_conn_close(conn);
 		return;
 	}
 	if (!conn->reader.in.len && !conn->exchange)
@@ -136,7 +110,7 @@
 	if (conn->closed)
 		return;
 	if (status || close_after)
-		close_conn(conn);
+		ht_conn_close(conn);
 }
 
 /* Writes as much as possible at once; takes ownership of the buffer. */
@@ -153,7 +127,7 @@
 	if (len < 0 || (size_t)len == bytes->len) {
 		gb_buf_free(bytes);
 		if (len < 0 || close_after)
-			close_conn(conn);
+			ht_conn_close(conn);
 		return;
 	}
 	write = g_new0(struct pending_write, 1);
@@ -169,7 +143,7 @@
 		gb_buf_free(&write->bytes);
 		g_free(write);
 		conn->pending_writes--;
-		close_conn(conn);
+		ht_conn_close(conn);
 	}
 }
 
@@ -207,8 +181,7 @@
 		read_requests(conn);
 }
 
-/* Replies with an error status and closes the connection. */
-static void reject_request(struct ht_conn *conn, int status)
+void ht_conn_reject(struct ht_conn *conn, int status)
 {
 	const struct ht_reply reply = { .status = status };
 	struct gb_buf bytes = GB_BUF_INIT;
@@ -228,7 +201,7 @@
 
 	ht_memory_hold(holder, 0);
 	ht_reader_free(&conn->reader);
-	reject_request(conn, 503);
+	ht_conn_reject(conn, 503);
 }
 
 static int rejection_status(enum ht_read read)
@@ -289,7 +262,7 @@
 	if (read == HT_READ_CONTINUE)
 		send_continue(conn);
 	else if (read != HT_READ_MORE)
-		reject_request(conn, rejection_status(read));
+		ht_conn_reject(conn, rejection_status(read));
 	if (!conn->closed)
 		ht_memory_hold(&conn->holder, conn->reader.in.cap);
 }
@@ -324,7 +297,7 @@
 	conn->tcp.data = conn;
 	g_queue_push_tail_link(&server->conns, &conn->link);
 	if (uv_accept(stream, (uv_stream_t *)&conn->tcp)) {
-		close_conn(conn);
+		ht_conn_close(conn);
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
@@ -354,74 +327,6 @@
 			 on_connection);
 }
 
-/* A client that reads slowly may still read the end of its answer. */
-static gb_time idle_timeout(const struct ht_conn *conn)
-{
-	gb_time timeout = conn->server->limits.idle_timeout;
-
-	return conn->pending_writes ? MAX(timeout, WRITE_TIMEOUT) : timeout;
-}
-
-/* Replies 408 to an incomplete request; closes an idle connection silently. */
-static void close_if_expired(struct ht_conn *conn, gb_time now)
-{
-	const struct ht_limits *limits = &conn->server->limits;
-	gb_time age = now - conn->wait_begin;
-
-	if (conn->exchange)
-		return;
-	if (conn->reader.in.len) {
-		/* parsed is not 0 while the head is incomplete. */
-		if (age >
-		    (conn->reader.parsed ? limits->head_timeout : BODY_TIMEOUT))
-			reject_request(conn, 408);
-	} else if (age > idle_timeout(conn)) {
-		close_conn(conn);
-	}
-}
-
-void ht_server_close_expired(struct ht_server *server, gb_time now)
-{
-	GList *next;
-
-	for (GList *at = server->conns.head; at; at = next) {
-		next = at->next;
-		close_if_expired(at->data, now);
-	}
-}
-
-static bool has_unread_bytes(const struct ht_conn *conn)
-{
-	uv_os_fd_t fd;
-	char byte;
-
-	return !uv_fileno((const uv_handle_t *)&conn->tcp, &fd) &&
-	       recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
-static bool is_idle(const struct ht_conn *conn, gb_time now)
-{
-	if (conn->exchange || conn->reader.in.len || conn->pending_writes ||
-	    has_unread_bytes(conn))
-		return false;
-	return conn->has_answered ||
-	       now - conn->wait_begin >= FIRST_REQUEST_TIME;
-}
-
-void ht_server_close_idle(struct ht_server *server)
-{
-	gb_time now = ht_now();
-	GList *next;
-
-	for (GList *at = server->conns.head; at; at = next) {
-		struct ht_conn *conn = at->data;
-
-		next = at->next;
-		if (is_idle(conn, now))
-			close_conn(conn);
-	}
-}
-
 void ht_server_stop_listening(struct ht_server *server)
 {
 	if (!uv_is_closing((uv_handle_t *)&server->listener))
@@ -431,7 +336,7 @@
 void ht_server_close_conns(struct ht_server *server)
 {
 	while (server->conns.length)
-		close_conn(server->conns.head->data);
+		ht_conn_close(server->conns.head->data);
 }
 
 void ht_server_stop(struct ht_server *server)
