fleet, front: count the last resort of a drained upstream from the last answer

Cause: a draining upstream is a last resort for 2.2 s from when its VM learns of it. After a silence the VM learns 2 to 3 s late, so that the time ended too late.

Change: if the source did not answer before, the time is counted from its last answer. This holds for entries that say so, not for removed ones, which a store that was away may have lost.

--- a/packages/fleet/fl-fleet.c
+++ b/packages/fleet/fl-fleet.c
@@ -166,10 +166,13 @@
 	replace_str(&upstream->dc, entry->dc);
 	set_service(upstream, fl_service(fleet, entry->service));
 	set_cold(upstream, now, entry->cold_remaining);
-	/* An upstream first seen as draining may have been so for long. */
+	/*
+	 * An upstream first seen as draining, or after a time in which changes
+	 * were not seen, may have been so for as long.
+	 */
 	if (entry->leaving && !upstream->leaving)
-		upstream->left_at =
-			is_new ? now - fleet->last_resort_time : now;
+		upstream->left_at = now - (is_new ? fleet->last_resort_time
+						  : entry->unseen);
 	upstream->leaving = entry->leaving || upstream->leaving_announced;
 	return upstream;
 }
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -63,6 +63,7 @@
 	struct gb_str dc;
 	uint32_t slots; /* requests that it runs at once */
 	bool leaving; /* draining */
+	gb_time unseen; /* time for which a change may have gone unseen */
 	gb_time cold_remaining; /* time until it is warm; 0: warm */
 	int64_t process_start; /* start time of the process; 0: unknown */
 };
--- a/packages/fleet/tests/fleet-test.c
+++ b/packages/fleet/tests/fleet-test.c
@@ -90,7 +90,7 @@
 	ctx->fleet = new_fleet(ctx, scr_int(args, GB_STR("ms"), 0) * GB_MSEC);
 }
 
-/* put ID dc= process_start= leaving= cold_ms= address= */
+/* put ID dc= process_start= leaving= unseen_ms= cold_ms= address= */
 static void cmd_put(void *data, const struct scr_args *args, struct gb_buf *out)
 {
 	struct ctx *ctx = data;
@@ -102,6 +102,7 @@
 		.dc = scr_str(args, GB_STR("dc"), GB_STR("here")),
 		.slots = 2,
 		.leaving = scr_int(args, GB_STR("leaving"), 0),
+		.unseen = scr_int(args, GB_STR("unseen_ms"), 0) * GB_MSEC,
 		.cold_remaining = scr_int(args, GB_STR("cold_ms"), 0) * GB_MSEC,
 		.process_start = scr_int(args, GB_STR("process_start"), 1),
 	};
--- a/packages/front/fr-object.c
+++ b/packages/front/fr-object.c
@@ -79,9 +79,22 @@
 	return 0;
 }
 
+/* Time before now for which the source did not answer, or may not have. */
+static gb_time unseen_time(const struct fr *fr)
+{
+	const struct fr_follower *follower = &fr->followers[FR_UPSTREAMS];
+	bool was_silent =
+		follower->state.failures || follower->state.source_in_doubt;
+
+	return was_silent && follower->answered_at
+		       ? ht_now() - follower->answered_at
+		       : 0;
+}
+
 static void on_upstream(void *ctx, const struct fl_entry *entry)
 {
 	struct fr *fr = ctx;
+	struct fl_entry dated = *entry;
 	struct gb_buf detail = GB_BUF_INIT;
 	struct gb_error error;
 	struct ev_event event = { .code = EV_ENTRY_TAKEN,
@@ -92,7 +105,8 @@
 		on_invalid_object(ctx, FR_UPSTREAMS, entry->id, &error);
 		return;
 	}
-	if (!fl_apply_entry(fr->fleet, ht_now(), entry))
+	dated.unseen = unseen_time(fr);
+	if (!fl_apply_entry(fr->fleet, ht_now(), &dated))
 		return;
 	gb_buf_addf(&detail, "service=%.*s leaving=%d cold_us=%lld born=%lld",
 		    (int)entry->service.len, entry->service.ptr, entry->leaving,
