directory: never count more changes than the revision has risen by

Cause: a VM that changes to another VM as its source may get a change once more that it has seen before. The audit counted it twice, and a change that was missing later was taken for the surplus one. Concluded from the log; counts aren't logged.

Change: the count is bounded by the rise of the revision.

Test, red before: directory/tests/audit ("nothing missing" where a change is).

--- a/packages/directory/dir-audit.c
+++ b/packages/directory/dir-audit.c
@@ -33,7 +33,9 @@
 {
 	audit->seen += count_after_base(audit, from, to, changes);
 	audit->newest = MAX(audit->newest, to);
-	if (audit->newest - audit->base <= audit->seen)
+	/* Another VM may return a change once more that was seen before. */
+	audit->seen = MIN(audit->seen, audit->newest - audit->base);
+	if (audit->newest - audit->base == audit->seen)
 		audit->missing_since = 0;
 	else if (!audit->missing_since)
 		audit->missing_since = now;
