directory, front: work out the waits for changes from the bounds

After its connections to the store had fallen silent, a VM had 0.8 s for the one call that tells it of a change in time.

The waits stood as constants for bounds of 3 s and 4 s, each without the time of a failed attempt. In addition a watch without an answer counted as a failed attempt, so the next call went to another VM, and the one after it had the longer timeout meant for a slow store.

A watch without an answer puts its source in doubt: all kinds are asked again at once, over new connections. Attempts after a failure count from the start of the one before. The waits are logged at start, directory_lost names the source, directory_back the number of failures.

An empty value of the new settings means the default, since a template may have no value for them.

--- a/packages/directory/dir-audit.c
+++ b/packages/directory/dir-audit.c
@@ -2,12 +2,6 @@
 
 #include <glib.h>
 
-/*
- * A watch that has returned is sent again after a pause, so changes of its kind
- * arrive this much later than the revision of another watch at most.
- */
-#define ARRIVAL_TIME (300 * GB_MSEC)
-
 void dir_audit_restart(struct dir_audit *audit, int64_t revision)
 {
 	audit->newest = MAX(audit->newest, revision);
@@ -41,8 +35,8 @@
 		audit->missing_since = now;
 }
 
-gb_time dir_audit_due(const struct dir_audit *audit)
+gb_time dir_audit_due(const struct dir_audit *audit, gb_time arrival_time)
 {
-	return audit->missing_since ? audit->missing_since + ARRIVAL_TIME
+	return audit->missing_since ? audit->missing_since + arrival_time
 				    : GB_NEVER;
 }
--- a/packages/directory/dir-audit.h
+++ b/packages/directory/dir-audit.h
@@ -35,9 +35,10 @@
 		       int64_t to, int64_t changes);
 
 /*
- * Returns when changes have been missing for so long that their watch must have
- * fallen silent; GB_NEVER if none are missing.
+ * Returns when changes have been missing for the time in which their watch
+ * should have returned them, so that it must have fallen silent; GB_NEVER if
+ * none are missing.
  */
-gb_time dir_audit_due(const struct dir_audit *audit);
+gb_time dir_audit_due(const struct dir_audit *audit, gb_time arrival_time);
 
 #endif
--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -2,14 +2,6 @@
 
 #include <glib.h>
 
-/*
- * Delay after a watch that returned changes, so that a burst of changes takes
- * few calls.
- */
-#define WATCH_PAUSE (150 * GB_MSEC)
-
-#define BACKOFF_MIN (100 * GB_MSEC)
-#define BACKOFF_MAX (800 * GB_MSEC)
 #define BACKOFF_DOUBLINGS_MAX 4
 
 /* An unsynced VM serves no requests, so it retries the store more often. */
@@ -29,21 +21,15 @@
  * another VM, so failures / 2 counts those of the store. Followers with
  * different timeout phases make their long attempts at different times.
  */
-#define ANSWER_TIMEOUT_MIN (600 * GB_MSEC)
 #define ANSWER_TIMEOUT_STEP (300 * GB_MSEC)
 #define ANSWER_TIMEOUT_STEP_UNSYNCED (150 * GB_MSEC)
-#define ANSWER_TIMEOUT_MAX_SYNCED (1200 * GB_MSEC)
 #define ANSWER_TIMEOUT_MAX_UNSYNCED (2500 * GB_MSEC)
 
-/*
- * Time beyond the granted wait after which a watch fails; a slow store answers
- * late.
- */
-#define WATCH_MARGIN (800 * GB_MSEC)
-
-void dir_init(struct dir_follower *follower, uint32_t timeout_phase)
+void dir_init(struct dir_follower *follower, const struct dir_timing *timing,
+	      uint32_t timeout_phase)
 {
 	*follower = (struct dir_follower){ .step = DIR_LIST,
+					   .timing = timing,
 					   .timeout_phase = timeout_phase };
 }
 
@@ -74,6 +60,15 @@
 	follower->due_at = due;
 }
 
+/* Records that the source has sent the objects or changes that there are. */
+static void record_answer(struct dir_follower *follower, gb_time now,
+			  gb_time due)
+{
+	record_success(follower, due);
+	follower->confirmed = !follower->from_peer;
+	follower->answered_at = now;
+}
+
 /*
  * Pages are read one after the other and may be of different revisions, so
  * changes are watched from the revision of the first page.
@@ -81,7 +76,7 @@
 void dir_list_done(struct dir_follower *follower, gb_time now, int64_t revision,
 		   bool more, struct gb_str last)
 {
-	record_success(follower, now);
+	record_answer(follower, now, now);
 	if (!follower->cursor.len)
 		follower->revision = revision;
 	if (more) {
@@ -96,7 +91,7 @@
 void dir_watch_done(struct dir_follower *follower, gb_time now,
 		    int64_t revision, size_t changes)
 {
-	record_success(follower, changes ? now + WATCH_PAUSE : now);
+	record_answer(follower, now, changes ? now + DIR_WATCH_PAUSE : now);
 	follower->revision = MAX(follower->revision, revision);
 }
 
@@ -107,25 +102,42 @@
 	follower->step = DIR_LIST;
 }
 
-void dir_step_failed(struct dir_follower *follower, gb_time now, bool is_peer)
+/*
+ * An unsynced follower pauses after a failure. A synced one starts its attempts
+ * at growing intervals, so that a source that refuses at once is not asked more
+ * often than one that does not answer.
+ */
+static gb_time next_attempt(const struct dir_follower *follower, gb_time now,
+			    gb_time backoff)
+{
+	gb_time interval;
+
+	if (!follower->synced)
+		return now + (follower->from_peer
+				      ? BACKOFF_PEER
+				      : MIN(backoff, BACKOFF_UNSYNCED));
+	interval = MIN(backoff, follower->timing->retry_interval_max);
+	return MAX(follower->started_at + interval, now + DIR_BACKOFF_MIN);
+}
+
+void dir_step_failed(struct dir_follower *follower, gb_time now)
 {
-	gb_time pause = BACKOFF_MIN
-			<< MIN(follower->failures, BACKOFF_DOUBLINGS_MAX);
+	gb_time backoff = DIR_BACKOFF_MIN
+			  << MIN(follower->failures, BACKOFF_DOUBLINGS_MAX);
 
 	if (!follower->failing_since)
 		follower->failing_since = now;
 	follower->failures++;
-	if (follower->synced)
-		pause = MIN(pause, BACKOFF_MAX);
-	else
-		pause = is_peer ? BACKOFF_PEER : MIN(pause, BACKOFF_UNSYNCED);
-	follower->due_at = now + pause;
+	follower->due_at = next_attempt(follower, now, backoff);
 }
 
-void dir_begin_step(struct dir_follower *follower, gb_time wait)
+void dir_begin_step(struct dir_follower *follower, gb_time now, gb_time wait,
+		    bool from_peer)
 {
 	bool must_answer = follower->failures || follower->source_in_doubt;
 
+	follower->from_peer = from_peer;
+	follower->started_at = now;
 	follower->watch_wait = must_answer ? 0 : wait;
 }
 
@@ -136,16 +148,27 @@
 
 gb_time dir_step_timeout(const struct dir_follower *follower)
 {
+	const struct dir_timing *timing = follower->timing;
 	uint32_t attempts = follower->failures / 2 + follower->timeout_phase;
 	gb_time extension = follower->failures * ANSWER_TIMEOUT_STEP;
 
 	if (follower->step == DIR_WATCH && follower->watch_wait)
-		return follower->watch_wait + WATCH_MARGIN;
+		return follower->watch_wait + timing->watch_margin;
 	if (follower->synced)
-		return MIN(ANSWER_TIMEOUT_MIN + extension,
-			   ANSWER_TIMEOUT_MAX_SYNCED);
+		return MIN(timing->answer_timeout + extension,
+			   timing->answer_timeout_max);
 	if (attempts % DIR_TIMEOUT_PHASES != DIR_TIMEOUT_PHASES - 1)
-		return ANSWER_TIMEOUT_MIN;
+		return timing->answer_timeout;
 	extension = follower->failures * ANSWER_TIMEOUT_STEP_UNSYNCED;
-	return MIN(ANSWER_TIMEOUT_MIN + extension, ANSWER_TIMEOUT_MAX_UNSYNCED);
+	return MIN(timing->answer_timeout + extension,
+		   ANSWER_TIMEOUT_MAX_UNSYNCED);
+}
+
+bool dir_is_confirmed(const struct dir_follower *follower, gb_time now)
+{
+	if (!follower->synced || follower->from_peer || follower->failures)
+		return false;
+	return now - follower->answered_at <=
+	       DIR_WATCH_PAUSE + follower->watch_wait +
+		       follower->timing->watch_margin;
 }
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -12,11 +12,14 @@
  *	resumes where it was, with exponential back-off. After a watch that
  *	returned changes it pauses, so that a burst of changes takes few calls.
  *
+ *	The source of each step is the store or another VM that follows it. Only
+ *	the store's own answers confirm that the objects are up to date.
+ *
  *	The follower does no I/O. The caller carries out the current step once
  *	it is due, starting with dir_begin_step(), and reports how it ended.
  */
 
-#include "base/gb.h"
+#include "directory/dir-timing.h"
 
 /*
  * Number of phases by which followers stagger their attempts with a long
@@ -35,26 +38,34 @@
 	int64_t revision;
 	/* owned; name of the last object of the previous page */
 	struct gb_str cursor;
+	const struct dir_timing *timing; /* outlives the follower */
+	gb_time started_at; /* when the current step, or the last one, began */
 	gb_time due_at; /* when the step may start */
 	uint32_t failures; /* consecutive failures */
 	gb_time failing_since; /* 0 while steps succeed */
 	bool synced; /* all objects have been listed at least once */
 	/* how long the source may hold a watch without changes */
 	gb_time watch_wait;
+	bool from_peer; /* the source of the current step is another VM */
 	bool source_in_doubt; /* it may have stopped responding */
+	bool confirmed; /* the store itself gave the last answer */
+	gb_time answered_at; /* by any source; 0: never */
 	uint32_t timeout_phase; /* which attempts have a long timeout */
 };
 
-void dir_init(struct dir_follower *follower, uint32_t timeout_phase);
+void dir_init(struct dir_follower *follower, const struct dir_timing *timing,
+	      uint32_t timeout_phase);
 void dir_free(struct dir_follower *follower);
 
 /*
- * Starts a step. The source may hold a watch for up to wait while nothing
- * changes. After a failure, or while the source is in doubt, the wait is 0,
- * since a source that has stopped responding cannot be told from one that is
- * waiting for changes.
+ * Starts a step at the store or at another VM. The source may hold a watch for
+ * up to wait while nothing changes. After a failure, while the source is in
+ * doubt, or if the store did not give the last answer, the wait is 0, since a
+ * source that does not respond cannot be told from one that is waiting for
+ * changes.
  */
-void dir_begin_step(struct dir_follower *follower, gb_time wait);
+void dir_begin_step(struct dir_follower *follower, gb_time now, gb_time wait,
+		    bool from_peer);
 
 /* Puts the source in doubt until it answers. */
 void dir_doubt_source(struct dir_follower *follower);
@@ -74,8 +85,14 @@
 		    int64_t revision, size_t changes);
 void dir_history_lost(struct dir_follower *follower, gb_time now);
 
-/* is_peer: the source was another VM, not the store. */
-void dir_step_failed(struct dir_follower *follower, gb_time now, bool is_peer);
+void dir_step_failed(struct dir_follower *follower, gb_time now);
+
+/*
+ * Tells whether the store itself has answered the last step, and the current
+ * one may still be waiting for changes there. Other VMs may rely on the objects
+ * only then.
+ */
+bool dir_is_confirmed(const struct dir_follower *follower, gb_time now);
 
 /* Time after which a step without an answer counts as failed. */
 gb_time dir_step_timeout(const struct dir_follower *follower);
--- a/packages/directory/tests/directory-test.c
+++ b/packages/directory/tests/directory-test.c
@@ -5,13 +5,19 @@
 struct ctx {
 	struct dir_follower follower;
 	struct dir_audit audit;
+	struct dir_timing timing;
+	bool next_from_peer; /* the source of the next step is another VM */
 };
 
+static const struct dir_bounds default_bounds = { .change = 3 * GB_SEC,
+						  .silence = 4 * GB_SEC };
+
 static void *open_ctx(void)
 {
 	struct ctx *ctx = g_new0(struct ctx, 1);
 
-	dir_init(&ctx->follower, 0);
+	dir_timing_init(&ctx->timing, &default_bounds);
+	dir_init(&ctx->follower, &ctx->timing, 0);
 	return ctx;
 }
 
@@ -33,7 +39,7 @@
 {
 	struct dir_follower *f = &ctx->follower;
 
-	dir_begin_step(f, 5 * GB_SEC);
+	dir_begin_step(f, f->due_at, 5 * GB_SEC, ctx->next_from_peer);
 
 	if (f->step == DIR_LIST)
 		gb_buf_addf(out, "list after=\"%.*s\"", (int)f->cursor.len,
@@ -81,11 +87,30 @@
 {
 	struct ctx *ctx = data;
 
-	dir_step_failed(&ctx->follower, at(args),
-			scr_int(args, GB_STR("peer"), 0));
+	dir_step_failed(&ctx->follower, at(args));
 	print(ctx, out);
 }
 
+/* source peer|store: of the next steps, beginning with this one */
+static void cmd_source(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	ctx->next_from_peer = gb_str_eq(scr_word(args, 0), GB_STR("peer"));
+	print(ctx, out);
+}
+
+/* confirmed at_ms=: do the objects count as up to date? */
+static void cmd_confirmed(void *data, const struct scr_args *args,
+			  struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	gb_buf_addf(out, "%s\n",
+		    dir_is_confirmed(&ctx->follower, at(args)) ? "yes" : "no");
+}
+
 /* doubt: the source may have stopped responding */
 static void cmd_doubt(void *data, const struct scr_args *args,
 		      struct gb_buf *out)
@@ -99,7 +124,7 @@
 
 static void print_audit(const struct dir_audit *audit, struct gb_buf *out)
 {
-	gb_time due = dir_audit_due(audit);
+	gb_time due = dir_audit_due(audit, 300 * GB_MSEC);
 
 	if (due == GB_NEVER)
 		gb_buf_add(out, GB_STR("nothing missing\n"));
@@ -138,6 +163,8 @@
 		{ GB_STR_INIT("watched"), cmd_watched },
 		{ GB_STR_INIT("history-lost"), cmd_lost },
 		{ GB_STR_INIT("failed"), cmd_failed },
+		{ GB_STR_INIT("source"), cmd_source },
+		{ GB_STR_INIT("confirmed"), cmd_confirmed },
 		{ GB_STR_INIT("doubt"), cmd_doubt },
 		{ GB_STR_INIT("audit-listed"), cmd_audit_listed },
 		{ GB_STR_INIT("audit-watched"), cmd_audit_watched },
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -99,6 +99,8 @@
 {
 	const struct ev_event event = {
 		.code = EV_DIRECTORY_LOST,
+		.num1 = !follower->state.from_peer,
+		.num2 = ht_now() - follower->requested_at,
 		.detail = follower->fr->platform->kind_names[follower->kind],
 	};
 
@@ -106,15 +108,17 @@
 		fr_log_event(follower->fr, &event);
 }
 
-static void log_directory_back(struct fr_follower *follower, gb_time since)
+static void log_directory_back(struct fr_follower *follower, gb_time since,
+			       uint32_t failures)
 {
 	const struct ev_event event = {
 		.code = EV_DIRECTORY_BACK,
+		.num1 = failures,
 		.num2 = ht_now() - since,
 		.detail = follower->fr->platform->kind_names[follower->kind],
 	};
 
-	if (since)
+	if (failures)
 		fr_log_event(follower->fr, &event);
 }
 
@@ -128,7 +132,7 @@
 
 static void handle_failure(struct fr_follower *follower)
 {
-	dir_step_failed(&follower->state, ht_now(), !follower->source_is_store);
+	dir_step_failed(&follower->state, ht_now());
 	log_directory_lost(follower);
 	fr_mirror_notify(follower);
 }
@@ -155,7 +159,7 @@
 		struct fr_follower *follower = &fr->followers[kind];
 
 		if (follower->state.synced || !follower->call_running ||
-		    !follower->source_is_store ||
+		    follower->state.from_peer ||
 		    now - follower->requested_at < HEALTHY_STORE_LATENCY)
 			continue;
 		fr_cancel_step(follower);
@@ -167,6 +171,7 @@
 static void finish_step(struct fr_follower *follower, enum ht_outcome outcome)
 {
 	gb_time since = follower->state.failing_since;
+	uint32_t failures = follower->state.failures;
 	bool answered = outcome == HT_ANSWERED;
 	bool is_history_lost = answered && follower->http_status == 410;
 	bool is_applied = answered && follower->http_status == 200 &&
@@ -176,13 +181,12 @@
 	fr_record_source_result(follower, answered,
 				is_applied || is_history_lost);
 	if (is_applied) {
-		log_directory_back(follower, since);
-		if (follower->source_is_store && !fr_is_synced(follower->fr))
+		log_directory_back(follower, since, failures);
+		if (!follower->state.from_peer && !fr_is_synced(follower->fr))
 			retry_store_calls(follower->fr);
-		follower->answered_at = ht_now();
 		fr_mirror_notify(follower);
 	} else if (is_history_lost) {
-		log_directory_back(follower, since);
+		log_directory_back(follower, since, failures);
 		dir_history_lost(&follower->state, ht_now());
 	} else {
 		handle_failure(follower);
@@ -202,7 +206,7 @@
 	if (follower->state.step == DIR_LIST) {
 		met_add(&follower->fr->metrics, MET_STORE_READS, 1);
 		platform->write_list(follower->kind, follower->state.cursor,
-				     !follower->source_is_store &&
+				     follower->state.from_peer &&
 					     !follower->state.synced,
 				     out);
 	} else {
@@ -244,9 +248,10 @@
 	struct ht_target *source;
 
 	if (follower->call_running) {
+		if (fr_silence_handle_timeout(follower))
+			return;
 		ht_call_cancel(&follower->call);
 		finish_step(follower, HT_LOST);
-		fr_silence_suspect_others(follower);
 		return;
 	}
 	follower->call_running = true;
@@ -271,7 +276,7 @@
 	 */
 	peer->avoid_until = 0;
 	follower->hinted_peer = peer;
-	if (follower->call_running && !follower->source_is_store)
+	if (follower->call_running && follower->state.from_peer)
 		return;
 	fr_cancel_step(follower);
 	fr_schedule_step(follower, ht_now());
@@ -291,6 +296,7 @@
 
 	if (ht_parse_address(fr->settings.store_address, &addr))
 		return UV_EINVAL;
+	fr_update_timing(fr);
 	fr_silence_init(fr);
 	fr->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -299,7 +305,7 @@
 
 		follower->fr = fr;
 		follower->kind = kind;
-		dir_init(&follower->state, kind);
+		dir_init(&follower->state, &fr->timing, kind);
 		follower->mirror = mir_new();
 		g_queue_init(&follower->long_polls);
 		uv_timer_init(fr->loop, &follower->timer);
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -41,12 +41,10 @@
 	struct dir_follower state;
 	struct mir_table *mirror; /* copy of the objects, served to other VMs */
 	GQueue long_polls; /* of struct fr_long_poll: VMs waiting for changes */
-	bool source_is_store; /* the current source is the store, not a VM */
 	struct fr_peer *peer; /* the current source, if it is a VM */
 	/* next source, known to have the objects; or NULL */
 	struct fr_peer *hinted_peer;
 	gb_time requested_at;
-	gb_time answered_at;
 	bool peer_unresponsive; /* the last VM asked did not answer in time */
 	/* until then a VM is preferred, after a failure of the store */
 	gb_time avoid_store_until;
@@ -92,6 +90,8 @@
 	struct ht_target *store_target;
 	GHashTable *peers; /* control address of a VM to struct fr_peer */
 	struct fr_follower followers[FR_KINDS];
+	struct dir_bounds bounds; /* from which the waits are computed */
+	struct dir_timing timing; /* waits of the followers */
 	struct dir_audit audit; /* of the watches of the store */
 	uv_timer_t audit_timer;
 };
@@ -141,6 +141,9 @@
 /* Starts the next step of a follower at that time. */
 void fr_schedule_step(struct fr_follower *follower, gb_time at);
 
+/* Computes the waits of the followers from the bounds, and logs them. */
+void fr_update_timing(struct fr *fr);
+
 /* Watches of the store that may have fallen silent. */
 void fr_silence_init(struct fr *fr);
 
@@ -151,8 +154,12 @@
 void fr_silence_watched(struct fr_follower *follower,
 			const struct fr_page *page);
 
-/* Renews the watches of the other kinds after one had no answer. */
-void fr_silence_suspect_others(const struct fr_follower *silent);
+/*
+ * Handles a watch that was not answered in time: it may have fallen silent, and
+ * at the store those of the other kinds with it. Returns false if the call of
+ * the follower should have been answered at once.
+ */
+bool fr_silence_handle_timeout(struct fr_follower *follower);
 
 /* Tells whether a watch of the store would show that others are silent. */
 bool fr_silence_is_noticed(const struct fr *fr);
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -100,6 +100,7 @@
 	set_memory_limit(fr);
 	fr->log.severity = fr->settings.log_severity;
 	fr->log.rate = fr->settings.log_rate;
+	fr_update_timing(fr);
 	fr_update_budget(fr);
 }
 
--- a/packages/front/fr-mirror.c
+++ b/packages/front/fr-mirror.c
@@ -1,11 +1,5 @@
 #include "front/fr-internal.h"
 
-/*
- * A follower without an answer for this much longer than its watch may be
- * stale.
- */
-#define FRESH_MARGIN (1 * GB_SEC)
-
 /* A VM that waits for changes of one kind. */
 struct fr_long_poll {
 	struct fr_follower *follower;
@@ -51,14 +45,6 @@
 	gb_buf_free(&page->bytes);
 }
 
-static bool is_answered(const struct fr_follower *follower, gb_time now)
-{
-	return follower->state.synced && follower->source_is_store &&
-	       !follower->state.failures &&
-	       now - follower->answered_at <=
-		       follower->state.watch_wait + FRESH_MARGIN;
-}
-
 /*
  * Only objects read directly from the store are served as fresh, and only while
  * the store can be reached.
@@ -67,8 +53,8 @@
 {
 	const struct fr *fr = follower->fr;
 
-	return is_answered(follower, now) &&
-	       is_answered(&fr->followers[FR_LIVENESS_KIND], now);
+	return dir_is_confirmed(&follower->state, now) &&
+	       dir_is_confirmed(&fr->followers[FR_LIVENESS_KIND].state, now);
 }
 
 static void serve_list(struct fr_follower *follower,
--- a/packages/front/fr-object.c
+++ b/packages/front/fr-object.c
@@ -86,8 +86,8 @@
 	bool was_silent =
 		follower->state.failures || follower->state.source_in_doubt;
 
-	return was_silent && follower->answered_at
-		       ? ht_now() - follower->answered_at
+	return was_silent && follower->state.answered_at
+		       ? ht_now() - follower->state.answered_at
 		       : 0;
 }
 
--- a/packages/front/fr-silence.c
+++ b/packages/front/fr-silence.c
@@ -24,39 +24,49 @@
 static bool waits_for_store(const struct fr_follower *follower,
 			    gb_time min_wait)
 {
-	return follower->call_running && follower->source_is_store &&
+	return follower->call_running && !follower->state.from_peer &&
 	       follower->state.step == DIR_WATCH &&
 	       follower->state.watch_wait >= min_wait;
 }
 
-static void renew_others(const struct fr_follower *follower, gb_time min_wait)
+/*
+ * Renews the watches that wait at the store for at least that time. Connections
+ * that were idle meanwhile may be silent as well.
+ */
+static void renew_watches(struct fr *fr, gb_time min_wait)
 {
-	struct fr *fr = follower->fr;
-
 	for (int kind = 0; kind < FR_KINDS; kind++)
-		if (kind != (int)follower->kind &&
-		    waits_for_store(&fr->followers[kind], min_wait))
+		if (waits_for_store(&fr->followers[kind], min_wait))
 			renew_watch(&fr->followers[kind]);
+	ht_target_close_idle(fr->store_target);
 }
 
-void fr_silence_suspect_others(const struct fr_follower *silent)
+bool fr_silence_handle_timeout(struct fr_follower *follower)
 {
-	if (silent->source_is_store)
-		renew_others(silent, GB_MSEC);
+	if (follower->state.step != DIR_WATCH || !follower->state.watch_wait)
+		return false;
+	if (!follower->state.from_peer) {
+		renew_watches(follower->fr, GB_MSEC);
+		return true;
+	}
+	fr_record_source_result(follower, false, false);
+	renew_watch(follower);
+	return true;
 }
 
 bool fr_silence_is_noticed(const struct fr *fr)
 {
 	const struct fr_follower *live = &fr->followers[FR_LIVENESS_KIND];
 
-	return live->source_is_store && live->state.synced &&
+	return !live->state.from_peer && live->state.synced &&
 	       !live->state.failures;
 }
 
 void fr_silence_source_chosen(const struct fr_follower *follower)
 {
-	if (follower->kind == FR_LIVENESS_KIND && !follower->source_is_store)
-		renew_others(follower, FR_WATCH_WAIT_QUIET);
+	if (follower->kind == FR_LIVENESS_KIND && follower->state.from_peer &&
+	    follower->fr->store_target)
+		renew_watches(follower->fr, FR_WATCH_WAIT_QUIET);
 }
 
 /* Renews the watches that have not returned the missing changes. */
@@ -73,7 +83,8 @@
 
 static void arm_audit_timer(struct fr *fr)
 {
-	gb_time due = dir_audit_due(&fr->audit), left = due - ht_now();
+	gb_time due = dir_audit_due(&fr->audit, fr->timing.arrival_time);
+	gb_time left = due - ht_now();
 
 	if (due == GB_NEVER)
 		uv_timer_stop(&fr->audit_timer);
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -15,17 +15,6 @@
 #define CONNECT_TIMEOUT (400 * GB_MSEC)
 #define CONNECT_TIMEOUT_PEER (200 * GB_MSEC)
 
-/*
- * How long a source may hold a watch without changes. A silent connection is
- * noticed only when the wait should have ended. A configuration must be in
- * force 3 s after it was written, and 4 s after its VM lost its connections, so
- * the wait, the time to notice and a further call must fit into that. VMs that
- * follow this one learn of the change later still, so a relayed watch has the
- * shorter wait.
- */
-#define WATCH_WAIT_DIRECT (2400 * GB_MSEC)
-#define WATCH_WAIT_RELAYED (1500 * GB_MSEC)
-
 /*
  * Time for which a VM is not used as a source after it did not answer, or
  * answered that it is stale. The membership takes longer than this to declare a
@@ -167,15 +156,16 @@
 	if (follower->kind != FR_LIVENESS_KIND &&
 	    fr_silence_is_noticed(follower->fr))
 		return FR_WATCH_WAIT_QUIET;
-	return mem_all_are_readers(follower->fr->members) ? WATCH_WAIT_DIRECT
-							  : WATCH_WAIT_RELAYED;
+	return mem_all_are_readers(follower->fr->members)
+		       ? follower->fr->timing.watch_wait
+		       : follower->fr->timing.relayed_wait;
 }
 
 struct ht_target *fr_choose_source(struct fr_follower *follower, gb_time now)
 {
 	struct fr *fr = follower->fr;
 	struct fr_peer *peer = NULL;
-	gb_time wait = WATCH_WAIT_RELAYED;
+	gb_time wait = fr->timing.relayed_wait;
 
 	if (follower->hinted_peer)
 		peer = follower->hinted_peer;
@@ -189,10 +179,9 @@
 		peer = NULL;
 	follower->hinted_peer = NULL;
 	follower->peer = peer;
-	follower->source_is_store = !peer;
-	if (follower->source_is_store)
+	if (!peer)
 		wait = direct_watch_wait(follower);
-	dir_begin_step(&follower->state, wait);
+	dir_begin_step(&follower->state, now, wait, peer);
 	return peer ? peer->target : store_target(fr);
 }
 
@@ -202,9 +191,9 @@
 	gb_time now = ht_now();
 
 	follower->peer_unresponsive =
-		!follower->source_is_store && !answered &&
+		follower->state.from_peer && !answered &&
 		now - follower->requested_at >= UNRESPONSIVE_AFTER;
-	if (follower->source_is_store)
+	if (!follower->state.from_peer)
 		follower->avoid_store_until = is_usable ? 0 : now + AVOID_STORE;
 	else if (!is_usable)
 		follower->peer->avoid_until =
--- a/packages/front/fr.h
+++ b/packages/front/fr.h
@@ -32,6 +32,10 @@
 	uint16_t member_port; /* for datagrams between VMs */
 	struct gb_str store_address; /* of the platform's store */
 	gb_time drain_time; /* for which a leaving upstream still serves */
+	gb_time apply_time; /* by which a configuration must be in force */
+	gb_time exclusion_time; /* by which an exclusion must be */
+	/* after lost connections, by which changes must be in force again */
+	gb_time stable_time;
 	gb_time grace_period; /* from SIGTERM until the process is killed */
 	gb_time retry_window;
 	double retry_ratio; /* retries and hedges per request, over all VMs */
--- a/packages/http/ht-client.c
+++ b/packages/http/ht-client.c
@@ -217,13 +217,18 @@
 	return closed;
 }
 
-void ht_target_retire(struct ht_target *target)
+void ht_target_close_idle(struct ht_target *target)
 {
-	target->retired = true;
 	while (target->idle_links.length)
 		ht_link_close(target->idle_links.head->data);
 }
 
+void ht_target_retire(struct ht_target *target)
+{
+	target->retired = true;
+	ht_target_close_idle(target);
+}
+
 void ht_target_free(struct ht_target *target)
 {
 	target->free_pending = true;
@@ -233,8 +238,7 @@
 	}
 	/* The extra count keeps the target allocated during the loop. */
 	target->conns_open++;
-	while (target->idle_links.length)
-		ht_link_close(target->idle_links.head->data);
+	ht_target_close_idle(target);
 	target->conns_open--;
 	free_target_if_unused(target);
 }
--- a/packages/http/ht-client.h
+++ b/packages/http/ht-client.h
@@ -94,6 +94,9 @@
 /* Returns and clears whether the server has closed an idle connection. */
 bool ht_target_take_idle_closed(struct ht_target *target);
 
+/* Closes idle connections; calls in flight go on. */
+void ht_target_close_idle(struct ht_target *target);
+
 /* Closes idle connections, and the others once their call has ended. */
 void ht_target_retire(struct ht_target *target);
 
--- a/packages/settings/set-option.h
+++ b/packages/settings/set-option.h
@@ -34,6 +34,8 @@
 	const struct set_type *type;
 	unsigned int required_roles; /* roles for which it must be set */
 	struct gb_str default_text; /* unused if required_roles is not 0 */
+	/* an empty value means the default: a template had none to fill in */
+	bool may_be_empty;
 	int64_t min;
 	int64_t max;
 	const struct gb_str *choices;
--- a/packages/settings/set-read.c
+++ b/packages/settings/set-read.c
@@ -253,6 +253,8 @@
 		return 1;
 	}
 	reader->first_line[index] = reader->line;
+	if (!text.len && options[index].may_be_empty)
+		return 1;
 	code = options[index].type->parse(&options[index], text,
 					  reader->settings);
 	if (code != GB_OK)
--- a/packages/settings/set-table.c
+++ b/packages/settings/set-table.c
@@ -147,6 +147,39 @@
 	  .description =
 		  GB_STR_INIT("Time for which a draining upstream still serves "
 			      "requests.") },
+	{ .section = GB_STR_INIT("bounds"),
+	  .key = GB_STR_INIT("apply_ms"),
+	  .type = &set_type_real_ms,
+	  .default_text = GB_STR_INIT("3000"),
+	  .may_be_empty = true,
+	  .min = 500,
+	  .max = 600000,
+	  FIELD(front.apply_time),
+	  .description = GB_STR_INIT(
+		  "Time from a change of the configuration until it must be in "
+		  "force.") },
+	{ .section = GB_STR_INIT("bounds"),
+	  .key = GB_STR_INIT("exclusion_ms"),
+	  .type = &set_type_real_ms,
+	  .default_text = GB_STR_INIT("5000"),
+	  .may_be_empty = true,
+	  .min = 500,
+	  .max = 600000,
+	  FIELD(front.exclusion_time),
+	  .description = GB_STR_INIT(
+		  "Time from the exclusion of a data centre until no request "
+		  "may reach it.") },
+	{ .section = GB_STR_INIT("bounds"),
+	  .key = GB_STR_INIT("stable_ms"),
+	  .type = &set_type_real_ms,
+	  .default_text = GB_STR_INIT("4000"),
+	  .may_be_empty = true,
+	  .min = 500,
+	  .max = 600000,
+	  FIELD(front.stable_time),
+	  .description = GB_STR_INIT(
+		  "Time after lost connections, or an outage of the store, "
+		  "until all changes must be in force again.") },
 	{ .section = GB_STR_INIT("bounds"),
 	  .key = GB_STR_INIT("grace_s"),
 	  .type = &set_type_real_s,
--- a/packages/settings/tests/settings-test.c
+++ b/packages/settings/tests/settings-test.c
@@ -117,6 +117,10 @@
 		    (long long)set->http_idle_timeout);
 	gb_buf_addf(out, "severity %d events %zu\n", set->log_severity,
 		    set->events_kept);
+	gb_buf_addf(out, "apply %lld exclusion %lld stable %lld\n",
+		    (long long)set->front.apply_time,
+		    (long long)set->front.exclusion_time,
+		    (long long)set->front.stable_time);
 }
 
 /* Parses the settings text and clears it. */
--- a/tests/emulator/lib.sh
+++ b/tests/emulator/lib.sh
@@ -2,7 +2,7 @@
 # addresses, from 127.0.NET.1, so that several tests can run at once.
 
 # write_settings DIR NET INDEX VMS: writes the settings file of one VM; $memory
-# is the memory in MB that it may use, if set
+# is the memory in MB that it may use, $apply_ms and $stable_ms are bounds, if set
 write_settings() {
 	local seeds= i
 	i=1
@@ -27,6 +27,8 @@
 	drain_ms = 3000
 	grace_s = 6
 	${memory:+memory_mb = $memory}
+	${apply_ms:+apply_ms = $apply_ms}
+	${stable_ms:+stable_ms = $stable_ms}
 	retry_ratio = 0.2
 	retry_extra = 58
 	EOF
