directory: only the store's own answers make a follower's objects up to date

A VM that follows another one for a while and then goes back to the store served its objects to other VMs as up to date from the moment it called the store, for up to 10 s, though the store had not answered that call: the check joined the source of the running call with the time of the last answer of any source. A VM that relied on it would have missed changes while the store, or the connection to it, was silent.

A follower now keeps whether the store gave the last answer, and its first watch at the store after another source is to be answered at once.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -134,7 +134,8 @@
 void dir_begin_step(struct dir_follower *follower, gb_time now, gb_time wait,
 		    bool from_peer)
 {
-	bool must_answer = follower->failures || follower->source_in_doubt;
+	bool must_answer = follower->failures || follower->source_in_doubt ||
+			   (!from_peer && !follower->confirmed);
 
 	follower->from_peer = from_peer;
 	follower->started_at = now;
@@ -166,7 +167,8 @@
 
 bool dir_is_confirmed(const struct dir_follower *follower, gb_time now)
 {
-	if (!follower->synced || follower->from_peer || follower->failures)
+	if (!follower->synced || follower->from_peer || follower->failures ||
+	    !follower->confirmed)
 		return false;
 	return now - follower->answered_at <=
 	       DIR_WATCH_PAUSE + follower->watch_wait +
