http: linger after the last reply of a connection

A caller that was still sending a body when it was refused (413, 400, 408, 431, 503) could lose the refusal: the server closed the connection at once, the bytes that arrived then reset it, and a client that fails to send need not look for an answer. And a request that arrived while the last reply of a stopping process was still being written was accepted, sent on, and cut off when that reply was complete.

Both came from closing in place of shutting down. After its last reply a connection is now shut down for writing, and what the client sends is discarded until it closes its side, for 2 s at most.

--- a/packages/http/ht-server-idle.c
+++ b/packages/http/ht-server-idle.c
@@ -8,6 +8,9 @@
 /* From the first byte of a request to the end of its body. */
 #define BODY_TIMEOUT (30 * GB_SEC)
 
+/* Time in which a client closes its side after the last reply. */
+#define LINGER_TIME (2 * GB_SEC)
+
 /* Time that a client may take to read an answer. */
 #define WRITE_TIMEOUT (30 * GB_SEC)
 
@@ -27,6 +30,11 @@
 
 	if (conn->exchange)
 		return;
+	if (conn->lingering) {
+		if (age > (conn->pending_writes ? WRITE_TIMEOUT : LINGER_TIME))
+			ht_conn_close(conn);
+		return;
+	}
 	if (conn->reader.in.len) {
 		/* parsed is not 0 while the head is incomplete. */
 		if (age >
@@ -58,8 +66,8 @@
 
 static bool is_idle(const struct ht_conn *conn, gb_time now)
 {
-	if (conn->exchange || conn->reader.in.len || conn->pending_writes ||
-	    has_unread_bytes(conn))
+	if (conn->lingering || conn->exchange || conn->reader.in.len ||
+	    conn->pending_writes || has_unread_bytes(conn))
 		return false;
 	return conn->has_answered ||
 	       now - conn->wait_begin >= FIRST_REQUEST_TIME;
--- a/packages/http/ht-server.c
+++ b/packages/http/ht-server.c
@@ -16,7 +16,6 @@
 	struct ht_conn *conn;
 	struct gb_buf bytes;
 	struct ht_memory_holder holder;
-	bool close_after;
 };
 
 static void read_requests(struct ht_conn *conn);
@@ -80,6 +79,8 @@
 		ht_conn_close(conn);
 		return;
 	}
+	if (conn->lingering)
+		return;
 	if (!conn->reader.in.len && !conn->exchange)
 		conn->wait_begin = ht_now();
 	gb_buf_add(&conn->reader.in, (struct gb_str){ buf->base, len });
@@ -97,25 +98,48 @@
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
+static void on_shut_down(uv_shutdown_t *req, int status)
+{
+	struct ht_conn *conn = req->data;
+
+	conn->wait_begin = ht_now();
+	if (status && !conn->closed)
+		ht_conn_close(conn);
+}
+
+/* Sends what is still to be written, and discards what the client sends. */
+static void linger(struct ht_conn *conn)
+{
+	if (conn->closed)
+		return;
+	conn->lingering = true;
+	conn->wait_begin = ht_now();
+	ht_reader_free(&conn->reader);
+	ht_memory_hold(&conn->holder, 0);
+	conn->shutdown.data = conn;
+	if (uv_shutdown(&conn->shutdown, (uv_stream_t *)&conn->tcp,
+			on_shut_down)) {
+		ht_conn_close(conn);
+		return;
+	}
+	start_reading(conn);
+}
+
 static void on_written(uv_write_t *req, int status)
 {
 	struct pending_write *write = (struct pending_write *)req;
 	struct ht_conn *conn = write->conn;
-	bool close_after = write->close_after;
 
 	ht_memory_hold(&write->holder, 0);
 	gb_buf_free(&write->bytes);
 	g_free(write);
 	conn->pending_writes--;
-	if (conn->closed)
-		return;
-	if (status || close_after)
+	if (status && !conn->closed)
 		ht_conn_close(conn);
 }
 
 /* Writes as much as possible at once; takes ownership of the buffer. */
-static void send_bytes(struct ht_conn *conn, struct gb_buf *bytes,
-		       bool close_after)
+static void send_bytes(struct ht_conn *conn, struct gb_buf *bytes)
 {
 	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
 	uv_buf_t buf = uv_buf_init(bytes->ptr, bytes->len);
@@ -126,14 +150,13 @@
 		len = 0;
 	if (len < 0 || (size_t)len == bytes->len) {
 		gb_buf_free(bytes);
-		if (len < 0 || close_after)
+		if (len < 0)
 			ht_conn_close(conn);
 		return;
 	}
 	write = g_new0(struct pending_write, 1);
 	write->conn = conn;
 	write->bytes = *bytes;
-	write->close_after = close_after;
 	write->holder.memory = conn->server->memory;
 	ht_memory_hold(&write->holder, bytes->cap);
 	buf = uv_buf_init(bytes->ptr + len, bytes->len - len);
@@ -173,7 +196,9 @@
 	conn->wait_begin = ht_now();
 	encode_reply(reply, close, &bytes);
 	free_exchange(x);
-	send_bytes(conn, &bytes, close);
+	send_bytes(conn, &bytes);
+	if (close)
+		linger(conn);
 	if (conn->closed || close)
 		return;
 	start_reading(conn);
@@ -189,7 +214,8 @@
 	conn->server->ops->bad_request(conn->server->ctx, status);
 	stop_reading(conn);
 	encode_reply(&reply, true, &bytes);
-	send_bytes(conn, &bytes, true);
+	send_bytes(conn, &bytes);
+	linger(conn);
 }
 
 /* Refuses the longest request that is still being read. */
@@ -216,7 +242,7 @@
 	struct gb_buf bytes = GB_BUF_INIT;
 
 	gb_buf_add(&bytes, GB_STR("HTTP/1.1 100 Continue\r\n\r\n"));
-	send_bytes(conn, &bytes, false);
+	send_bytes(conn, &bytes);
 }
 
 /* Starts the exchange of the next request if it is complete. */
--- a/packages/http/tests/server-test.c
+++ b/packages/http/tests/server-test.c
@@ -16,13 +16,15 @@
 	struct ht_server server;
 	uint32_t port;
 	int client;
+	uint32_t requests; /* that the server has accepted */
 };
 
 static void on_request(void *data, struct ht_exchange *exchange)
 {
 	char *body = g_malloc0(ANSWER_BYTES);
+	struct ctx *ctx = data;
 
-	(void)data;
+	ctx->requests++;
 	ht_reply(exchange, &(struct ht_reply){
 				   .status = 200,
 				   .body = { body, ANSWER_BYTES },
@@ -92,23 +94,113 @@
 	g_free(ctx);
 }
 
-/* Sends a request and lets the server answer; the client reads nothing yet. */
-static void cmd_ask(void *data, const struct scr_args *args, struct gb_buf *out)
+static void connect_client(struct ctx *ctx)
 {
-	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
-	struct ctx *ctx = data;
 	struct sockaddr_in addr = { .sin_family = AF_INET,
 				    .sin_port = htons(ctx->port) };
 
-	(void)args;
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	if (ctx->client >= 0)
 		close(ctx->client);
 	ctx->client = socket(AF_INET, SOCK_STREAM, 0);
 	g_assert(!connect(ctx->client, (struct sockaddr *)&addr, sizeof(addr)));
+}
+
+static void print_connections(const struct ctx *ctx, struct gb_buf *out)
+{
+	gb_buf_addf(out, "connections=%u\n", ctx->server.conns.length);
+}
+
+/* Sends a request and lets the server answer; the client reads nothing yet. */
+static void cmd_ask(void *data, const struct scr_args *args, struct gb_buf *out)
+{
+	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+	struct ctx *ctx = data;
+
+	(void)args;
+	connect_client(ctx);
 	g_assert(send(ctx->client, request, strlen(request), 0) > 0);
 	run_loop(ctx);
-	gb_buf_addf(out, "connections=%u\n", ctx->server.conns.length);
+	print_connections(ctx, out);
+}
+
+/* last: the server answers its last request, and a second one arrives then */
+static void cmd_last(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+	struct ctx *ctx = data;
+
+	(void)args;
+	ctx->server.closing = true;
+	connect_client(ctx);
+	g_assert(send(ctx->client, request, strlen(request), 0) > 0);
+	run_loop(ctx);
+	g_assert(send(ctx->client, request, strlen(request), 0) > 0);
+	run_loop(ctx);
+	gb_buf_addf(out, "accepted=%u\n", ctx->requests);
+}
+
+/* upload length=: sends the head of a request with that body, and some of it */
+static void cmd_upload(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	struct gb_buf request = GB_BUF_INIT;
+
+	connect_client(ctx);
+	gb_buf_addf(&request,
+		    "POST / HTTP/1.1\r\nContent-Length: %lld\r\n\r\nxxxxxxxx",
+		    (long long)scr_int(args, GB_STR("length"), 0));
+	g_assert(send(ctx->client, request.ptr, request.len, 0) > 0);
+	gb_buf_free(&request);
+	run_loop(ctx);
+	print_connections(ctx, out);
+}
+
+/*
+ * more: the client sends more of the body. A client whose request can't be sent
+ * need not look for an answer.
+ */
+static void cmd_more(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	if (send(ctx->client, "xxxxxxxx", 8, MSG_NOSIGNAL) < 0)
+		gb_buf_add(out, GB_STR("cannot send\n"));
+	run_loop(ctx);
+	print_connections(ctx, out);
+}
+
+/* status: the client reads the first line of the answer */
+static void cmd_status(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	char bytes[1024];
+	ssize_t len = recv(ctx->client, bytes, sizeof(bytes), MSG_DONTWAIT);
+	struct gb_str answer = { bytes, MAX(len, 0) }, line;
+
+	(void)args;
+	gb_str_cut(&answer, '\r', &line);
+	gb_buf_addf(out, "%.*s\n", (int)line.len, line.ptr);
+	if (len < 0)
+		gb_buf_add(out, GB_STR("no answer\n"));
+}
+
+/* leave: the client closes its connection */
+static void cmd_leave(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	close(ctx->client);
+	ctx->client = -1;
+	run_loop(ctx);
+	print_connections(ctx, out);
 }
 
 /* stop: closes idle connections, as a process that is stopping does */
@@ -165,6 +257,11 @@
 {
 	static const struct scr_command commands[] = {
 		{ GB_STR_INIT("ask"), cmd_ask },
+		{ GB_STR_INIT("last"), cmd_last },
+		{ GB_STR_INIT("upload"), cmd_upload },
+		{ GB_STR_INIT("more"), cmd_more },
+		{ GB_STR_INIT("status"), cmd_status },
+		{ GB_STR_INIT("leave"), cmd_leave },
 		{ GB_STR_INIT("stop"), cmd_stop },
 		{ GB_STR_INIT("expire"), cmd_expire },
 		{ GB_STR_INIT("read"), cmd_read },
