daemon: linger after an answer to a request that is still arriving

A caller of role vm that sent a body far over the limit could lose the 413: h2o closes its socket after that answer, bytes that arrive then reset the connection, and a client that fails to send may not read what it was sent.

With a body that is sent bit by bit the client cannot send in each run, without any load; curl sends 200 kB at once and meets it only if the server is quicker.

h2o closes the descriptor itself, so a filter on its error answers keeps a second one. After h2o is done, the connection is shut down for writing and read until the caller closes it, for 2 s at most, and counts as open until then.

--- a/packages/daemon/gd-http.c
+++ b/packages/daemon/gd-http.c
@@ -20,7 +20,6 @@
 };
 
 static void on_connection(uv_stream_t *listener, int status);
-static void on_tcp_closed(uv_handle_t *handle);
 static void on_sock_closed(void *data);
 static int on_request(h2o_handler_t *self, h2o_req_t *req);
 static void on_sweep(uv_timer_t *timer);
@@ -47,6 +46,7 @@
 	http->hosts[0] = h2o_config_register_host(
 		&http->config, h2o_iovec_init(H2O_STRLIT("default")),
 		gd->settings.http_port);
+	gd_linger_init(http->hosts[0]);
 	path = h2o_config_register_path(http->hosts[0], "/", 0);
 	handler = (struct handler *)h2o_create_handler(path, sizeof(*handler));
 	handler->super.on_req = on_request;
@@ -81,37 +81,40 @@
 		return;
 	conn = g_new0(struct gd_conn, 1);
 	conn->gd = gd;
+	conn->linger_fd = -1;
 	conn->opened_at = ht_now();
 	h2o_linklist_insert(&http->conns, &conn->link);
 	met_set(&gd->metrics, MET_CONNECTIONS, ++http->conns_len);
 	uv_tcp_init(gd->uv, &conn->tcp);
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) ||
 	    http->conns_len > gd->settings.http_connections_max) {
-		uv_close((uv_handle_t *)&conn->tcp, on_tcp_closed);
+		uv_close((uv_handle_t *)&conn->tcp, gd_conn_on_closed);
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
-	conn->sock =
-		h2o_uv_socket_create((uv_stream_t *)&conn->tcp, on_tcp_closed);
+	conn->sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp,
+					  gd_conn_on_closed);
 	conn->sock->on_close.cb = on_sock_closed;
 	conn->sock->on_close.data = conn;
 	h2o_accept(&http->accept, conn->sock);
 }
 
 /*
- * Shuts down the connections of callers that do not read their answers. h2o has
- * a timeout for reads but none for writes.
+ * Shuts down the connections of callers that do not read their answers, since
+ * h2o has a timeout for reads but none for writes, or do not close theirs.
  */
 static void on_sweep(uv_timer_t *timer)
 {
 	struct gd *gd = timer->data;
 	h2o_linklist_t *anchor = &gd->http.conns;
-	gb_time cutoff = ht_now() - gd->settings.http_idle_timeout;
+	gb_time now = ht_now();
+	gb_time cutoff = now - gd->settings.http_idle_timeout;
 
 	for (h2o_linklist_t *at = anchor->next; at != anchor; at = at->next) {
 		struct gd_conn *conn =
 			H2O_STRUCT_FROM_MEMBER(struct gd_conn, link, at);
 
+		gd_linger_sweep(conn, now);
 		if (conn->sock && !conn->pending &&
 		    conn->answered_at < cutoff &&
 		    h2o_socket_is_writing(conn->sock))
@@ -126,12 +129,14 @@
 	conn->sock = NULL;
 }
 
-static void on_tcp_closed(uv_handle_t *handle)
+void gd_conn_on_closed(uv_handle_t *handle)
 {
 	struct gd_conn *conn =
 		H2O_STRUCT_FROM_MEMBER(struct gd_conn, tcp, (uv_tcp_t *)handle);
 	struct gd *gd = conn->gd;
 
+	if (gd_linger_begin(conn))
+		return;
 	h2o_linklist_unlink(&conn->link);
 	met_set(&gd->metrics, MET_CONNECTIONS, --gd->http.conns_len);
 	g_free(conn);
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -137,6 +137,9 @@
 	struct gd_pending_request *pending;
 	gb_time opened_at;
 	gb_time answered_at; /* when the last answer was started */
+	/* keeps the connection open after h2o has closed it, or -1 */
+	int linger_fd;
+	gb_time lingering_since; /* 0: h2o still has the connection */
 };
 
 struct gd_pending_request {
@@ -179,6 +182,23 @@
 
 struct gd_conn *gd_conn_of(const h2o_req_t *req);
 
+/* Frees a connection, or goes on to read it until the caller closes it. */
+void gd_conn_on_closed(uv_handle_t *handle);
+
+/*
+ * After its last answer a connection is shut down for writing, and what the
+ * caller still sends is discarded for a limited time: bytes that arrive at a
+ * closed socket reset the connection, and a caller that fails to send may not
+ * read the answer.
+ */
+void gd_linger_init(h2o_hostconf_t *host);
+
+/* Returns false if the connection needs no lingering. */
+bool gd_linger_begin(struct gd_conn *conn);
+
+/* Closes a connection that has lingered for too long. */
+void gd_linger_sweep(struct gd_conn *conn, gb_time now);
+
 /* Records the time at which the answer to a request is started. */
 void gd_http_mark_answered(const h2o_req_t *req);
 
--- a/tests/process/bad-input.sh
+++ b/tests/process/bad-input.sh
@@ -31,6 +31,21 @@
 	exec {fd}>&-
 }
 
+# send_slowly TEXT HEAD: sends a head and then a body bit by bit, and prints the first
+# line of the answer. A client that fails to send does not look for an answer.
+send_slowly() {
+	local fd answer= i
+	exec {fd}<>"/dev/tcp/127.0.0.1/${http_ports[0]}"
+	printf "$2" >&$fd
+	for i in 1 2 3; do
+		sleep 0.2
+		printf 'aaaaaaaa' >&$fd 2>/dev/null || answer="cannot send"
+	done
+	[ -n "$answer" ] || answer=$(timeout 20 head -n 1 <&$fd | tr -d '\r')
+	fact "$1" "$answer"
+	exec {fd}>&-
+}
+
 print_bytes() {
 	head -c "$1" /dev/zero | tr '\0' a
 }
@@ -160,6 +175,8 @@
 
 send_malformed_requests
 holds "the daemon serves after malformed requests" until_true 10 serves
+send_slowly "body far over the limit, sent slowly" \
+	'POST /v1/bench-assist/lookup HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n'
 
 # Bodies that end early: the caller closes the connection.
 for i in 1 2 3 4 5 6 7 8; do
