suspect, front: date a lost run by when it was lost

The VM that adds up the lost runs of a request dated a loss by the arrival of its message, up to 0.25 s later, or later still after a pause. A run that was sent in between and lost at another VM then seemed to have been under way at that crash, and was not counted: one more upstream could crash before the request was quarantined. A loss that was told after an answer of the request counted as a new one.

The message now has the time since the run was sent and since it was lost. Two losses count as two crashes if the later run was sent after the earlier one was lost, in whatever order they are told.

Crashes that are told by other VMs are logged (suspect_crash and suspect_quarantined, source=vm).

A datagram of this kind from a VM of another build is ignored, as the record has grown by 8 bytes: during an upgrade crashes at VMs of both builds are not added up.

--- a/packages/front/fr-suspect.c
+++ b/packages/front/fr-suspect.c
@@ -76,18 +76,14 @@
  * at all VMs, unless it is this one. A request that may run only once is lost
  * once at each VM that gets it, and no VM alone would see two in a row.
  */
-static void tell_run_end(struct fr *fr, uint64_t fingerprint, bool answered,
-			 gb_time age)
+static void tell_run_end(struct fr *fr, const struct msg_run_end *run_end)
 {
-	const struct msg msg = { .kind = MSG_RUN_END,
-				 .run_end = { .fingerprint = fingerprint,
-					      .answered = answered,
-					      .age = age } };
+	const struct msg msg = { .kind = MSG_RUN_END, .run_end = *run_end };
 	struct gb_buf bytes = GB_BUF_INIT;
 	struct gb_str member;
 
-	if (!mem_rank(fr->members, MEM_ALL, fingerprint) ||
-	    !mem_pick(fr->members, MEM_ALL, fingerprint, 1, &member))
+	if (!mem_rank(fr->members, MEM_ALL, run_end->fingerprint) ||
+	    !mem_pick(fr->members, MEM_ALL, run_end->fingerprint, 1, &member))
 		return;
 	if (!wire_encode(&msg, &bytes))
 		fr_member_send(fr, member, gb_buf_str(&bytes));
@@ -96,14 +92,35 @@
 
 void fr_suspect_tell_answer(void *ctx, uint64_t fingerprint)
 {
-	tell_run_end(ctx, fingerprint, true, 0);
+	const struct msg_run_end run_end = { .fingerprint = fingerprint,
+					     .answered = true };
+
+	tell_run_end(ctx, &run_end);
 }
 
-static void tell_loss(void *ctx, const struct sus_record *record)
+static void tell_loss(void *ctx, const struct sus_loss *loss)
 {
+	const struct msg_run_end run_end = { .fingerprint = loss->fingerprint,
+					     .sent_age = loss->sent_age,
+					     .end_age = loss->lost_age };
+
 	/* All VMs are told of further crashes at once. */
-	if (record->crashes < FW_CRASHES_REPORTED_MIN)
-		tell_run_end(ctx, record->fingerprint, false, record->age);
+	if (loss->crashes < FW_CRASHES_REPORTED_MIN)
+		tell_run_end(ctx, &run_end);
+}
+
+/* Logs crashes that another VM has told of. */
+static void log_crashes(struct fr *fr, uint64_t fingerprint, uint32_t crashes)
+{
+	const struct ev_event event = {
+		.code = crashes >= CRASHES_MAX ? EV_SUSPECT_QUARANTINED
+					       : EV_SUSPECT_CRASH,
+		.num1 = fingerprint,
+		.num2 = crashes,
+		.detail = GB_STR("source=vm"),
+	};
+
+	fr_log_event(fr, &event);
 }
 
 /* Adds up the runs of a request that were lost at different VMs. */
@@ -117,9 +134,11 @@
 		sus_clear(suspects, now, m->fingerprint);
 		return;
 	}
-	if (!sus_run_lost(suspects, now, m->fingerprint, now - m->age))
+	if (!sus_run_lost(suspects, now - m->end_age, m->fingerprint,
+			  now - m->sent_age))
 		return;
 	crashes = sus_crashes(suspects, m->fingerprint);
+	log_crashes(fr, m->fingerprint, crashes);
 	if (crashes >= FW_CRASHES_REPORTED_MIN)
 		fr_suspect_announce(fr, m->fingerprint, crashes);
 }
@@ -129,8 +148,10 @@
 	const struct sus_record record = { .fingerprint = m->fingerprint,
 					   .crashes = m->crashes };
 
-	if (sus_merge(fr->engine.suspects, ht_now(), &record))
-		fr_suspect_announce(fr, m->fingerprint, m->crashes);
+	if (!sus_merge(fr->engine.suspects, ht_now(), &record))
+		return;
+	log_crashes(fr, m->fingerprint, m->crashes);
+	fr_suspect_announce(fr, m->fingerprint, m->crashes);
 }
 
 /* Messages with the suspects of this VM, on their way to another one. */
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -236,7 +236,8 @@
 struct msg_run_end {
 	uint64_t fingerprint;
 	bool answered; /* otherwise it was lost */
-	gb_time age; /* time since it was sent */
+	gb_time sent_age; /* time since it was sent */
+	gb_time end_age; /* time since it was lost, or answered */
 };
 
 struct msg {
--- a/packages/suspect/sus.c
+++ b/packages/suspect/sus.c
@@ -12,6 +12,7 @@
 	uint32_t crashes;
 	gb_time crashed_at; /* last crash */
 	gb_time cleared_at; /* last answer after a crash */
+	/* when the run of the last loss was sent; 0: another VM counted it */
 	gb_time lost_run_sent_at;
 	bool loss_is_new; /* sus_each_new_loss() has not visited it */
 	bool is_shared; /* other VMs may know of the crashes */
@@ -199,14 +200,22 @@
 	return entry->state;
 }
 
-bool sus_run_lost(struct sus_table *table, gb_time now, uint64_t fingerprint,
-		  gb_time sent_at)
+bool sus_run_lost(struct sus_table *table, gb_time lost_at,
+		  uint64_t fingerprint, gb_time sent_at)
 {
 	struct entry *entry = find_or_add_entry(table, fingerprint);
 
+	if (lost_at < entry->cleared_at)
+		return false;
+	if (lost_at < entry->lost_run_sent_at) {
+		/* An earlier loss is told late; the last one stays the last. */
+		set_crashes(table, entry->crashed_at, entry,
+			    entry->crashes + 1);
+		return true;
+	}
 	if (sent_at < entry->crashed_at)
 		return false;
-	sus_run_crashed(table, now, fingerprint);
+	set_crashes(table, lost_at, entry, entry->crashes + 1);
 	entry->lost_run_sent_at = sent_at;
 	entry->loss_is_new = true;
 	return true;
@@ -223,6 +232,7 @@
 	/* The entry stays, since other VMs may still tell of its crashes. */
 	entry->crashes = 0;
 	entry->cleared_at = now;
+	entry->lost_run_sent_at = 0;
 	entry->loss_is_new = false;
 	entry->is_shared = false;
 	set_state(table, entry, SUS_GOOD);
@@ -254,6 +264,7 @@
 		return false;
 	entry = find_or_add_entry(table, record->fingerprint);
 	set_crashes(table, crashed_at, entry, record->crashes);
+	entry->lost_run_sent_at = 0;
 	entry->loss_is_new = false;
 	entry->is_shared = true;
 	return true;
@@ -278,24 +289,24 @@
 }
 
 void sus_each_new_loss(struct sus_table *table, gb_time now,
-		       void (*visit)(void *ctx,
-				     const struct sus_record *record),
+		       void (*visit)(void *ctx, const struct sus_loss *loss),
 		       void *ctx)
 {
 	for (const GList *link = table->not_good.head; link;
 	     link = link->next) {
 		struct entry *entry = link->data;
-		const struct sus_record record = {
+		const struct sus_loss loss = {
 			.fingerprint = entry->fingerprint,
 			.crashes = entry->crashes,
-			.age = MAX(now - entry->lost_run_sent_at, 0),
+			.sent_age = MAX(now - entry->lost_run_sent_at, 0),
+			.lost_age = MAX(now - entry->crashed_at, 0),
 		};
 
 		if (!entry->loss_is_new)
 			continue;
 		entry->loss_is_new = false;
 		entry->is_shared = true;
-		visit(ctx, &record);
+		visit(ctx, &loss);
 	}
 }
 
--- a/packages/suspect/sus.h
+++ b/packages/suspect/sus.h
@@ -18,7 +18,10 @@
  *	and answers with sus_run_lost() and sus_clear(). It has a request
  *	quarantined after a number of consecutive lost runs, each sent after
  *	the previous one was lost: several runs that are lost when one upstream
- *	ends count as one crash. Any answer clears the request.
+ *	ends count as one crash. Any answer clears the request. Losses that are
+ *	told by other VMs come late and in any order, so a loss is dated by when
+ *	it happened: two count as two crashes if the later run was sent after
+ *	the earlier one was lost.
  *
  *	The quarantine time doubles with each further crash, up to a maximum.
  *
@@ -49,6 +52,14 @@
 	gb_time age; /* time since the last crash */
 };
 
+/* A lost run, as one VM tells another. */
+struct sus_loss {
+	uint64_t fingerprint;
+	uint32_t crashes; /* that the VM counts, this one included */
+	gb_time sent_age; /* time since it was sent */
+	gb_time lost_age; /* time since it was lost */
+};
+
 struct sus_table;
 
 /* Quarantines requests after crashes_max crashes. */
@@ -74,10 +85,11 @@
 
 /*
  * Records the loss of a run, which may have crashed its upstream. Returns
- * whether it counts as a crash: only if it was sent after the last one.
+ * whether it counts as a crash: not if it was under way at the last one, or
+ * lost before the request was answered.
  */
-bool sus_run_lost(struct sus_table *table, gb_time now, uint64_t fingerprint,
-		  gb_time sent_at);
+bool sus_run_lost(struct sus_table *table, gb_time lost_at,
+		  uint64_t fingerprint, gb_time sent_at);
 
 /*
  * Makes a request with crashes good again, since a run had an answer. Returns
@@ -100,13 +112,9 @@
 		      void (*visit)(void *ctx, const struct sus_record *record),
 		      void *ctx);
 
-/*
- * Visits each request whose last lost run was not visited before; the age of
- * the record is the time since that run was sent.
- */
+/* Visits the last lost run of each request unless it was visited before. */
 void sus_each_new_loss(struct sus_table *table, gb_time now,
-		       void (*visit)(void *ctx,
-				     const struct sus_record *record),
+		       void (*visit)(void *ctx, const struct sus_loss *loss),
 		       void *ctx);
 size_t sus_len(const struct sus_table *table);
 
--- a/packages/suspect/tests/suspect-test.c
+++ b/packages/suspect/tests/suspect-test.c
@@ -65,14 +65,21 @@
 			 out);
 }
 
+static void print_loss(void *out, const struct sus_loss *loss)
+{
+	gb_buf_addf(out, "fp=%llu crashes=%u sent_age=%lld lost_age=%lld\n",
+		    (unsigned long long)loss->fingerprint, loss->crashes,
+		    (long long)loss->sent_age, (long long)loss->lost_age);
+}
+
 /* losses at=: prints the losses that were not printed before */
 static void cmd_losses(void *ctx, const struct scr_args *args,
 		       struct gb_buf *out)
 {
 	struct ctx *c = ctx;
 
-	sus_each_new_loss(c->table, scr_int(args, GB_STR("at"), 0),
-			  print_record, out);
+	sus_each_new_loss(c->table, scr_int(args, GB_STR("at"), 0), print_loss,
+			  out);
 }
 
 /* run fp= at= EVENT...: applies events to a fingerprint and prints its state */
--- a/packages/wire/tests/wire-test.c
+++ b/packages/wire/tests/wire-test.c
@@ -78,7 +78,7 @@
 	[MSG_CONFIG_FETCH].config_fetch = { .known_version = 120 },
 	[MSG_QUARANTINE].quarantine = { .fingerprint = 130, .crashes = 131 },
 	[MSG_SUSPECTS].suspects = { suspects, G_N_ELEMENTS(suspects) },
-	[MSG_RUN_END].run_end = { 170, true, 171 },
+	[MSG_RUN_END].run_end = { 170, true, 172, 171 },
 	[MSG_LEAVING].leaving = { hosts, G_N_ELEMENTS(hosts) },
 	[MSG_JOIN].join = { 150,
 			    { "vm-9", 4 },
--- a/packages/wire/wire-suspect.c
+++ b/packages/wire/wire-suspect.c
@@ -50,5 +50,7 @@
 
 	return wire_xdr_u64(xdrs, &m->fingerprint) &&
 	       wire_xdr_bool(xdrs, &m->answered) &&
-	       wire_xdr_i64(xdrs, &m->age) && m->age >= 0;
+	       wire_xdr_i64(xdrs, &m->sent_age) &&
+	       wire_xdr_i64(xdrs, &m->end_age) && m->end_age >= 0 &&
+	       m->sent_age >= m->end_age;
 }
