--- a/packages/directory/tests/timing-test.c
+++ b/packages/directory/tests/timing-test.c
@@ -50,14 +50,32 @@
 	dir_doubt_source(&vm->follower);
 }
 
+/* The watch falls silent, and the first attempt after that fails. */
+static void survive_silence(struct vm *vm, const struct dir_bounds *bounds,
+			    bool relayed)
+{
+	start(vm, bounds);
+	lose_watch(vm,
+		   relayed ? vm->timing.relayed_wait : vm->timing.watch_wait);
+	fail_attempt(vm);
+	vm->now += DIR_ANSWER_TIME;
+}
+
 static gb_time all_silent(const struct dir_bounds *bounds)
 {
 	struct vm vm;
 
-	start(&vm, bounds);
-	lose_watch(&vm, vm.timing.watch_wait);
-	fail_attempt(&vm);
-	return vm.now + DIR_ANSWER_TIME;
+	survive_silence(&vm, bounds, false);
+	return vm.now;
+}
+
+/* The watch at another VM falls silent alone, long before the change. */
+static gb_time relay_silent(const struct dir_bounds *bounds)
+{
+	struct vm vm;
+
+	survive_silence(&vm, bounds, true);
+	return vm.now;
 }
 
 /* A VM that has failed often follows one whose connections fell silent. */
@@ -65,10 +83,7 @@
 {
 	struct vm vm;
 
-	start(&vm, bounds);
-	lose_watch(&vm, vm.timing.relayed_wait);
-	fail_attempt(&vm);
-	vm.now += DIR_ANSWER_TIME;
+	survive_silence(&vm, bounds, true);
 	for (int i = 0; i < FAILURES_MANY; i++)
 		dir_step_failed(&vm.follower, vm.now);
 	dir_begin_step(&vm.follower, vm.now, 0, true);
@@ -76,17 +91,6 @@
 	return vm.follower.due_at + DIR_ANSWER_TIME;
 }
 
-/* The watch at another VM falls silent alone, long before the change. */
-static gb_time relay_silent(const struct dir_bounds *bounds)
-{
-	struct vm vm;
-
-	start(&vm, bounds);
-	lose_watch(&vm, vm.timing.relayed_wait);
-	fail_attempt(&vm);
-	return vm.now + DIR_ANSWER_TIME;
-}
-
 /* One watch at the store falls silent alone, long before the change. */
 static gb_time one_silent(const struct dir_bounds *bounds)
 {
