--- a/packages/daemon/gd-linger.c
+++ b/packages/daemon/gd-linger.c
@@ -17,7 +17,8 @@
 
 /*
  * h2o closes its socket after the answer to a request that it refuses while the
- * body is still arriving. A second descriptor keeps the connection open.
+ * body is still arriving. A second descriptor keeps the connection open; if
+ * there is none left, the connection is closed at once.
  */
 static void on_setup_answer(h2o_filter_t *self, h2o_req_t *req,
 			    h2o_ostream_t **slot)
--- a/packages/directory/dir-timing.c
+++ b/packages/directory/dir-timing.c
@@ -8,7 +8,7 @@
 #define ANSWER_TIMEOUT_MAX (1200 * GB_MSEC)
 #define RETRY_INTERVAL_MAX (800 * GB_MSEC)
 
-/* A source that needs longer can't be told from a silent one in time. */
+/* The same for short bounds: a source that needs longer counts as silent. */
 #define WATCH_MARGIN_SHARE 0.3 /* of the shorter bound */
 #define ANSWER_TIMEOUT_FIRST_SHARE 0.2
 #define ANSWER_TIMEOUT_SHARE 0.4
@@ -88,7 +88,7 @@
 	one_silent = time_left(timing, change, timing->arrival_time);
 	timing->watch_wait =
 		at_least(timing, MIN(all_silent, one_silent), DIR_WAIT_MIN);
-	/* A watch at another VM is audited by nobody but its own timeout. */
+	/* The audit covers the store only: a relayed watch has its timeout. */
 	one_silent = MIN(one_silent - DIR_ANSWER_TIME,
 			 time_left(timing, change, timing->watch_margin));
 	timing->relayed_wait = at_least(
--- a/packages/directory/dir-timing.h
+++ b/packages/directory/dir-timing.h
@@ -21,6 +21,8 @@
  *				attempt, answer
  *		relayed		one of the above at the VM that is followed,
  *				then one retry interval and answer
+ *		relay silent	pause, wait at the other VM, margin, failed
+ *				attempt, answer
  *		store silent	call without an answer, another VM asked in
  *				vain, the same again, answer
  *
@@ -55,7 +57,7 @@
 	gb_time watch_wait;
 	/* the same if VMs follow this one, and for a watch at another VM */
 	gb_time relayed_wait;
-	/* beyond its wait after which a watch fails; a slow store is late */
+	/* after its wait, until a watch counts as silent */
 	gb_time watch_margin;
 	gb_time answer_timeout; /* of the first attempt */
 	gb_time answer_timeout_max; /* after failures, for a slow store */
--- a/packages/suspect/sus.c
+++ b/packages/suspect/sus.c
@@ -12,7 +12,7 @@
 	uint32_t crashes;
 	gb_time crashed_at; /* last crash */
 	gb_time cleared_at; /* last answer after a crash */
-	/* when the run of the last loss was sent; 0: another VM counted it */
+	/* when the last lost run was sent; 0: none, or counted elsewhere */
 	gb_time lost_run_sent_at;
 	bool loss_is_new; /* sus_each_new_loss() has not visited it */
 	bool is_shared; /* other VMs may know of the crashes */
