shard: a retry waits for an upstream that answers

A retry now leaves a replica alone that refused or reset its last connection while another one takes work, and waits for that one as long as there is time for an attempt.

The new case of shard/tests/upstreams shows both retries on dead replicas before.

--- a/packages/shard/shd-internal.h
+++ b/packages/shard/shd-internal.h
@@ -171,6 +171,8 @@
 void shd_remove_from_queue(struct shd_shard *shard, struct shd_entry *entry);
 bool shd_meets_deadline(const struct shd_shard *shard,
 			const struct shd_entry *entry);
+gb_time shd_retry_wait_end(const struct shd_shard *shard,
+			   const struct shd_entry *entry);
 enum msg_status shd_late_status(const struct shd_shard *shard);
 size_t shd_waiting_entries(const struct shd_shard *shard);
 
--- a/packages/shard/shd-place.c
+++ b/packages/shard/shd-place.c
@@ -3,18 +3,32 @@
 /* Entries at the head of a queue that are tried, as the first may not start. */
 #define QUEUE_SCAN_MAX 16
 
+static int failure_rank(const struct shd_replica *replica);
 static bool is_better_replica(const struct shd_replica *replica,
 			      const struct shd_replica *other, bool retry,
 			      gb_time now);
 static struct shd_replica *find_best_replica(const struct shd_shard *shard,
 					     uint64_t excluded, bool retry);
 static bool has_free_replica(const struct shd_shard *shard);
+static bool is_reachable_replica_busy(const struct shd_shard *shard,
+				      uint64_t excluded);
+static bool waits_for_reachable(const struct shd_shard *shard,
+				const struct shd_entry *entry,
+				const struct shd_replica *replica);
 static bool start_isolated(struct shd_shard *shard);
 static bool finish_if_no_replica(struct shd_shard *shard,
 				 struct shd_entry *entry);
 static bool start_entry(struct shd_shard *shard, struct shd_entry *entry);
 static bool start_next_entry(struct shd_shard *shard);
 
+/* Orders replicas by their last outcomes; 0 is the best. */
+static int failure_rank(const struct shd_replica *replica)
+{
+	if (replica->up.unreachable)
+		return 2;
+	return replica->up.failures ? 1 : 0;
+}
+
 /*
  * Compares two replicas for an attempt. A retry prefers one that has not failed
  * since its last success: a policy allows few retries, and after a crash the
@@ -24,10 +38,10 @@
 			      const struct shd_replica *other, bool retry,
 			      gb_time now)
 {
-	bool failing = replica->up.failures, other_failing = other->up.failures;
+	int rank = failure_rank(replica), other_rank = failure_rank(other);
 
-	if (retry && failing != other_failing)
-		return other_failing;
+	if (retry && rank != other_rank)
+		return rank < other_rank;
 	return up_score(&replica->up, now) < up_score(&other->up, now);
 }
 
@@ -61,6 +75,37 @@
 	return false;
 }
 
+/* Tells whether a replica that answers takes work but has no free slot. */
+static bool is_reachable_replica_busy(const struct shd_shard *shard,
+				      uint64_t excluded)
+{
+	for (guint i = 0; i < shard->replicas->len; i++) {
+		const struct shd_replica *replica = shard->replicas->pdata[i];
+
+		if (!(replica->bit & excluded) && !replica->up.unreachable &&
+		    up_limit(&replica->up, shard->now))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Tells whether a retry leaves the replica alone and waits for another one: it
+ * may be the last attempt, and a replica that reset its last connection has
+ * probably ended.
+ */
+static bool waits_for_reachable(const struct shd_shard *shard,
+				const struct shd_entry *entry,
+				const struct shd_replica *replica)
+{
+	if (!entry->attempts || !replica->up.unreachable)
+		return false;
+	if (shard->now >= shd_retry_wait_end(shard, entry))
+		return false;
+	return is_reachable_replica_busy(
+		shard, entry->failed_replicas | entry->no_snapshot_replicas);
+}
+
 /* Sends the suspect for which a replica is reserved once that is idle. */
 static bool start_isolated(struct shd_shard *shard)
 {
@@ -144,7 +189,7 @@
 	replica = find_best_replica(
 		shard, entry->failed_replicas | entry->no_snapshot_replicas,
 		entry->attempts > 0);
-	if (!replica)
+	if (!replica || waits_for_reachable(shard, entry, replica))
 		return false;
 	if (state == SUS_UNKNOWN && entry->request.canary)
 		trial = SHD_TRIAL_CANARY;
--- a/packages/shard/shd-queue.c
+++ b/packages/shard/shd-queue.c
@@ -1,5 +1,8 @@
 #include "shard/shd-internal.h"
 
+/* Time kept for a retry that waits, as a multiple of the mean service time. */
+#define RETRY_RESERVE 2.0
+
 /* Counts the entries that wait for an upstream, without the parked ones. */
 size_t shd_waiting_entries(const struct shd_shard *shard)
 {
@@ -53,6 +56,14 @@
 	       (double)entry->request.deadline;
 }
 
+/* Until then a retry may wait for a better replica than the free ones. */
+gb_time shd_retry_wait_end(const struct shd_shard *shard,
+			   const struct shd_entry *entry)
+{
+	return entry->request.deadline -
+	       (gb_time)(shard->mean_time * RETRY_RESERVE);
+}
+
 /*
  * The status of an entry that is not expected to meet its deadline. It is not
  * OVERLOAD when no upstream takes work: that is no sign of load, and OVERLOAD
--- a/packages/shard/shd-timer.c
+++ b/packages/shard/shd-timer.c
@@ -84,6 +84,9 @@
 		timer = MIN(timer, shard->now + PARKED_CHECK_INTERVAL);
 	if (entry->state == SHD_QUEUED)
 		timer = MIN(timer, drop_time(shard, entry));
+	if (entry->state == SHD_QUEUED && entry->attempts &&
+	    shd_retry_wait_end(shard, entry) > shard->now)
+		timer = MIN(timer, shd_retry_wait_end(shard, entry));
 	return timer;
 }
 
--- a/packages/upstream/up.c
+++ b/packages/upstream/up.c
@@ -205,6 +205,8 @@
 	}
 	if (changed || outcome == UP_RESET)
 		up_set_cold(up);
+	if (outcome != UP_CANCELLED)
+		up->unreachable = outcome == UP_RESET || outcome == UP_NOT_SENT;
 	switch (outcome) {
 	case UP_OK:
 		up->failures = 0;
--- a/packages/upstream/up.h
+++ b/packages/upstream/up.h
@@ -56,6 +56,7 @@
 	gb_time ramp_start;
 	uint32_t ramp_slots; /* limit while cold or ramping */
 	uint32_t failures; /* consecutive */
+	bool unreachable; /* its last connection was refused or reset */
 	gb_time breaker_open_until; /* 0 when closed */
 	gb_time breaker_pause; /* doubles each time the breaker opens */
 	double service_time_mean; /* in microseconds; 0 until known */
