--- a/packages/json/js-cut.c
+++ b/packages/json/js-cut.c
@@ -47,6 +47,29 @@
 	return 0;
 }
 
+bool js_is_nested_deeper(struct gb_str text, size_t depth_max)
+{
+	size_t depth = 0;
+
+	for (size_t i = 0; i < text.len; i++) {
+		char c = text.ptr[i];
+
+		if (c == '"') {
+			size_t len = string_len(gb_str_sub(text, i, text.len));
+
+			if (!len)
+				return false;
+			i += len - 1;
+		} else if (c == '{' || c == '[') {
+			if (++depth > depth_max)
+				return true;
+		} else if ((c == '}' || c == ']') && depth) {
+			depth--;
+		}
+	}
+	return false;
+}
+
 /* Length of a number or literal: up to the next separator. */
 static size_t scalar_len(struct gb_str s)
 {
--- a/packages/json/js-cut.h
+++ b/packages/json/js-cut.h
@@ -35,4 +35,10 @@
 bool js_cut_find(struct gb_str object, struct gb_str name,
 		 struct gb_str *value);
 
+/*
+ * Tells whether objects and arrays lie within each other deeper than that.
+ * Reading such a text costs a parser far more time than passing over it.
+ */
+bool js_is_nested_deeper(struct gb_str text, size_t depth_max);
+
 #endif
