upstream: try an upstream again some seconds after it was slow

An upstream that once was slow got no request any more while another one had a free slot: its mean service time changes only with samples, and samples come only with requests.

The mean now loses weight after 1 s without samples, with a half-life of 2 s, as in role front. A single request tries the upstream, and its time counts the more the older the mean is.

--- a/packages/upstream/up.c
+++ b/packages/upstream/up.c
@@ -1,15 +1,24 @@
 #include "upstream/up.h"
 
 #include <glib.h>
+#include <math.h>
 
 /* Consecutive failures that open the circuit breaker, and its pause. */
 #define BREAKER_FAILURES 3
 #define BREAKER_PAUSE_MIN (100 * GB_MSEC)
 #define BREAKER_PAUSE_MAX (5 * GB_SEC)
 
-/* Weight of one sample in the mean service time. */
+/* Weight of one sample in the mean service time, if the last one is recent. */
 #define SERVICE_TIME_WEIGHT (1.0 / 16)
 
+/*
+ * Without samples the mean service time keeps its weight for the first time and
+ * then loses half of it in each of the second. An upstream that was slow is
+ * tried again after it, and not avoided for ever.
+ */
+#define SERVICE_TIME_FRESH (1 * GB_SEC)
+#define SERVICE_TIME_HALF_LIFE (2 * GB_SEC)
+
 /*
  * Idle time after which the instance must be verified: the restart of an
  * upstream with calls in flight is noticed by their loss, but that of an idle
@@ -28,7 +37,9 @@
 			 uint64_t instance);
 static void lower_limit(struct up_upstream *up, gb_time now);
 static void add_failure(struct up_upstream *up, gb_time now);
-static void add_service_time(struct up_upstream *up, double duration);
+static double service_time_weight(const struct up_upstream *up, gb_time now);
+static void add_service_time(struct up_upstream *up, gb_time now,
+			     double duration);
 
 /* A cold limit of 0 would keep the upstream cold for ever. */
 static uint32_t cold_slots(const struct up_upstream *up)
@@ -174,14 +185,25 @@
 	up->breaker_open_until = now + up->breaker_pause;
 }
 
-static void add_service_time(struct up_upstream *up, double duration)
+/* The weight of the mean service time, from 1 down to 0. */
+static double service_time_weight(const struct up_upstream *up, gb_time now)
+{
+	double age = MAX(now - up->service_time_at - SERVICE_TIME_FRESH, 0);
+
+	return exp2(-age / SERVICE_TIME_HALF_LIFE);
+}
+
+static void add_service_time(struct up_upstream *up, gb_time now,
+			     double duration)
 {
+	double weight =
+		1 - (1 - SERVICE_TIME_WEIGHT) * service_time_weight(up, now);
+
 	duration = MIN(duration, SERVICE_TIME_MAX);
 	if (up->service_time_mean <= 0)
-		up->service_time_mean = duration;
-	else
-		up->service_time_mean += (duration - up->service_time_mean) *
-					 SERVICE_TIME_WEIGHT;
+		weight = 1;
+	up->service_time_mean += (duration - up->service_time_mean) * weight;
+	up->service_time_at = now;
 }
 
 bool up_attempt_done(struct up_upstream *up, gb_time now,
@@ -212,7 +234,7 @@
 		up->failures = 0;
 		up->breaker_open_until = 0;
 		up->breaker_pause = 0;
-		add_service_time(up, duration);
+		add_service_time(up, now, duration);
 		advance_ramp(up, now, instance);
 		break;
 	case UP_REFUSED:
@@ -222,7 +244,7 @@
 		lower_limit(up, now);
 		break;
 	case UP_TIMEOUT:
-		add_service_time(up, duration);
+		add_service_time(up, now, duration);
 		add_failure(up, now);
 		break;
 	case UP_NOT_SENT:
@@ -235,14 +257,15 @@
 		break;
 	case UP_ERROR:
 		/* Fast failures must not attract requests. */
-		add_service_time(up, MAX(duration, up->service_time_mean * 2));
+		add_service_time(up, now,
+				 MAX(duration, up->service_time_mean * 2));
 		up->failures = 0;
 		up->breaker_open_until = 0;
 		break;
 	case UP_CANCELLED:
 		/* The time so far is a lower bound of the full time. */
 		if (duration > up->service_time_mean)
-			add_service_time(up, duration);
+			add_service_time(up, now, duration);
 		break;
 	}
 	return !was_cold && up->state == UP_COLD;
@@ -251,9 +274,13 @@
 double up_score(const struct up_upstream *up, gb_time now)
 {
 	uint32_t slots = MIN(up->limits.slots, up_limit(up, now));
-	double mean = MAX(up->service_time_mean, 1.0);
+	double mean = up->service_time_mean;
 	double load = MIN(up->reported_load, 1000);
 
+	/* With a request in flight a new sample is on its way. */
+	if (!up->in_flight)
+		mean *= service_time_weight(up, now);
+	mean = MAX(mean, 1.0);
 	/* Reported load weighs less than one request in flight. */
 	return mean * (1.0 + (double)up->in_flight / MAX(slots, 1)) +
 	       load * 1e-6;
--- a/packages/upstream/up.h
+++ b/packages/upstream/up.h
@@ -24,6 +24,10 @@
  *	A circuit breaker opens after consecutive failures; after a pause,
  *	which doubles each time, it lets one trial request pass.
  *
+ *	The mean service time orders the upstreams. It loses its weight while
+ *	there are no samples, so that one that was slow is tried again with a
+ *	single request, whose time then counts for the most part.
+ *
  *	Reported load only breaks ties between upstreams; health endpoints are
  *	not used.
  */
@@ -60,6 +64,7 @@
 	gb_time breaker_open_until; /* 0 when closed */
 	gb_time breaker_pause; /* doubles each time the breaker opens */
 	double service_time_mean; /* in microseconds; 0 until known */
+	gb_time service_time_at; /* time of its last sample */
 	uint32_t reported_load;
 	bool isolated; /* runs one suspect request and no other */
 	bool disabled; /* drained, or its data centre is excluded */
