--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 	$(if $(CTL_SRC),$(BUILD)/gentianctl)
 
 .PHONY: all check demo bench matrix install-deps format format-check lint \
-	unit docs-check scenario process emulate soak asan fuzz clean
+	unit deploy-check docs-check scenario process emulate soak asan fuzz clean
 .SECONDARY:
 
 all: $(BINARIES) $(EMULATOR) $(STANDINS) $(SCENARIOS) $(MATRIX) $(BENCHES) $(UNITS)
@@ -132,6 +132,9 @@
 scenario: $(SCENARIOS)
 	tests/run-scenarios $(BUILD)
 
+deploy-check:
+	tests/check-deploy
+
 docs-check: all
 	tests/check-events $(BUILD)
 
