front, suspect: keep records of quarantined requests in the store

When all VMs ended together, none was left that knew which requests crash upstreams, and the next three upstreams crashed: in emulator/crashing-power, where all four VMs are killed after the third crash, 3 more crashed (1 is allowed, it ends the first quarantine).

The VM that counts a crash which quarantines a request now keeps a record of it in the store, and each VM reads the records once after its start, from a copy that may be some seconds old.

emulator/crashing-power: 3 crashes before, 1 now.

--- a/packages/front/fr-caller.c
+++ b/packages/front/fr-caller.c
@@ -305,7 +305,7 @@
 	.cancel = fr_upstream_cancel,
 	.reply = on_reply,
 	.event = on_event,
-	.report_crashes = fr_suspect_announce,
+	.report_crashes = fr_suspect_report,
 	.report_answer = fr_suspect_tell_answer,
 };
 
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -11,6 +11,7 @@
 #include "event/ev-log.h"
 #include "front/fr.h"
 #include "member/mem.h"
+#include "suspect/sus-keep.h"
 
 /*
  * The watches of this kind show whether the store can be reached, and whether
@@ -55,6 +56,20 @@
 	uv_timer_t timer;
 };
 
+/* Calls to the store for the records of requests that crash upstreams. */
+struct fr_keep {
+	struct fr *fr;
+	struct sus_keeper keeper;
+	struct ht_call call;
+	bool running;
+	enum sus_keep_step step; /* of the call that runs */
+	struct sus_kept kept; /* that it is about */
+	bool replaces; /* there is a record of the request already */
+	int http_status;
+	gb_time started_at;
+	uint32_t records_new; /* of the list that is being read */
+};
+
 struct fr {
 	struct fr_settings settings;
 	const struct fr_platform *platform;
@@ -86,6 +101,7 @@
 	struct mem_table *members;
 	uv_udp_t member_socket;
 	gb_time suspects_asked_at;
+	struct fr_keep keep;
 	uint32_t ticks;
 	struct ht_target *store_target;
 	GHashTable *peers; /* control address of a VM to struct fr_peer */
@@ -169,6 +185,9 @@
 
 struct fr_peer *fr_get_peer(struct fr *fr, struct gb_str member);
 
+/* The store; NULL if its address cannot be read. */
+struct ht_target *fr_store_target(struct fr *fr);
+
 /* Chooses the source of the next step: the store, or a VM that follows it. */
 struct ht_target *fr_choose_source(struct fr_follower *follower, gb_time now);
 
@@ -199,8 +218,20 @@
 uint64_t fr_request_fingerprint(const struct ht_request *request,
 				struct gb_str host);
 
-/* Announces to some members how many upstreams a request may have crashed. */
-void fr_suspect_announce(void *ctx, uint64_t fingerprint, uint32_t crashes);
+/*
+ * Announces to some members how many upstreams a request may have crashed, by
+ * the count of this VM, and keeps a record of it once it is quarantined.
+ */
+void fr_suspect_report(void *ctx, uint64_t fingerprint, uint32_t crashes);
+
+/* Records of crashing requests, for when all VMs end together. */
+void fr_keep_init(struct fr *fr);
+
+/* Keeps a record of the request in the store if it is quarantined. */
+void fr_keep_crashes(struct fr *fr, uint64_t fingerprint, uint32_t crashes);
+
+/* Ends a call that has timed out, and makes the one that is due. */
+void fr_keep_tick(struct fr *fr);
 
 /* Tells the VM that adds up the lost runs of a request that it was answered. */
 void fr_suspect_tell_answer(void *ctx, uint64_t fingerprint);
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -209,6 +209,7 @@
 		fr_update_budget(fr);
 	}
 	fr_suspect_tick(fr);
+	fr_keep_tick(fr);
 	if (fr->ticks % TICKS_PER_SETTINGS_CHECK == 0)
 		fr_reload_settings(fr, false);
 	ht_server_close_expired(&fr->caller_server, now);
@@ -262,6 +263,7 @@
 	fw_engine_init(&fr->engine, fr->fleet, &fr_forward_ops, fr, &fr->rng,
 		       &fr->metrics);
 	fr_suspect_init(fr);
+	fr_keep_init(fr);
 }
 
 static void init_loop_check(struct fr *fr)
@@ -323,6 +325,7 @@
 	log_event_code(fr, EV_START);
 	fr_member_tick(fr);
 	fr_suspect_tick(fr);
+	fr_keep_tick(fr);
 	return 0;
 }
 
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -6,9 +6,12 @@
  */
 #define DISCOVERY_TIME (300 * GB_MSEC)
 
-/* Connections to the store and to each VM: one per follower. */
+/* Connections to each VM: one per follower. */
 #define SOURCE_CONNS FR_KINDS
 
+/* Connections to the store: one more for the records. */
+#define STORE_CONNS (SOURCE_CONNS + 1)
+
 /*
  * Sources are a few milliseconds away; a lost packet is retransmitted sooner.
  */
@@ -139,12 +142,12 @@
 	return failures % 2 == 0;
 }
 
-static struct ht_target *store_target(struct fr *fr)
+struct ht_target *fr_store_target(struct fr *fr)
 {
 	if (fr->store_target)
 		return fr->store_target;
 	fr->store_target = ht_target_new(fr->loop, fr->settings.store_address,
-					 SOURCE_CONNS);
+					 STORE_CONNS);
 	if (fr->store_target)
 		fr->store_target->connect_timeout = CONNECT_TIMEOUT;
 	return fr->store_target;
@@ -182,7 +185,7 @@
 	if (!peer)
 		wait = direct_watch_wait(follower);
 	dir_begin_step(&follower->state, now, wait, peer);
-	return peer ? peer->target : store_target(fr);
+	return peer ? peer->target : fr_store_target(fr);
 }
 
 void fr_record_source_result(struct fr_follower *follower, bool answered,
--- a/packages/front/fr-suspect.c
+++ b/packages/front/fr-suspect.c
@@ -54,14 +54,13 @@
 	gb_buf_free(&bytes);
 }
 
-void fr_suspect_announce(void *ctx, uint64_t fingerprint, uint32_t crashes)
+static void announce(struct fr *fr, uint64_t fingerprint, uint32_t crashes)
 {
 	const struct msg msg = { .kind = MSG_QUARANTINE,
 				 .quarantine = { .fingerprint = fingerprint,
 						 .crashes = crashes } };
 	struct gb_buf bytes = GB_BUF_INIT;
 	struct gb_str member;
-	struct fr *fr = ctx;
 
 	if (wire_encode(&msg, &bytes))
 		return;
@@ -71,6 +70,12 @@
 	gb_buf_free(&bytes);
 }
 
+void fr_suspect_report(void *ctx, uint64_t fingerprint, uint32_t crashes)
+{
+	announce(ctx, fingerprint, crashes);
+	fr_keep_crashes(ctx, fingerprint, crashes);
+}
+
 /*
  * Sends the end of a run to the VM that adds up the lost runs of this request
  * at all VMs, unless it is this one. A request that may run only once is lost
@@ -140,7 +145,7 @@
 	crashes = sus_crashes(suspects, m->fingerprint);
 	log_crashes(fr, m->fingerprint, crashes);
 	if (crashes >= FW_CRASHES_REPORTED_MIN)
-		fr_suspect_announce(fr, m->fingerprint, crashes);
+		fr_suspect_report(fr, m->fingerprint, crashes);
 }
 
 static void learn_crashes(struct fr *fr, const struct msg_quarantine *m)
@@ -151,7 +156,7 @@
 	if (!sus_merge(fr->engine.suspects, ht_now(), &record))
 		return;
 	log_crashes(fr, m->fingerprint, m->crashes);
-	fr_suspect_announce(fr, m->fingerprint, m->crashes);
+	announce(fr, m->fingerprint, m->crashes);
 }
 
 /* Messages with the suspects of this VM, on their way to another one. */
--- a/packages/front/fr.h
+++ b/packages/front/fr.h
@@ -116,6 +116,15 @@
 	gb_time max_wait;
 };
 
+/* The record in the store of a request that crashes upstreams. */
+struct fr_record {
+	uint64_t fingerprint;
+	uint32_t crashes;
+	int64_t crashed_at_ms; /* the last time; wall clock, Unix time */
+};
+
+typedef void (*fr_record_fn)(void *ctx, const struct fr_record *record);
+
 /* Encodes and decodes the messages of a platform. */
 struct fr_platform {
 	struct gb_str ready_path;
@@ -153,6 +162,12 @@
 			   struct gb_buf *page);
 	/* Turns the objects appended by add_object() into a whole body. */
 	void (*end_page)(bool watch, int64_t revision, struct gb_buf *page);
+	/* Requests to the store for the records of crashing requests. */
+	void (*write_record_list)(struct gb_buf *out);
+	void (*write_record)(const struct fr_record *record, bool replaces,
+			     struct gb_buf *out);
+	void (*write_record_removal)(uint64_t fingerprint, struct gb_buf *out);
+	int (*read_records)(struct gb_str body, fr_record_fn visit, void *ctx);
 };
 
 /* Reads the settings again; returns the number of problems. */
--- a/tests/fuzz/fz-page.c
+++ b/tests/fuzz/fz-page.c
@@ -82,8 +82,16 @@
 	gb_str_free(&relayed.last_name);
 }
 
+static void check_record(void *ctx, const struct fr_record *record)
+{
+	(void)ctx;
+	fz_check(record->crashes > 0 && record->crashed_at_ms >= 0,
+		 "a record is within its bounds");
+}
+
 void fz_run_page(struct gb_str bytes)
 {
+	pf_read_records(bytes, check_record, NULL);
 	for (int kind = 0; kind < FR_KINDS; kind++) {
 		check_relay(kind, bytes, true);
 		check_relay(kind, bytes, false);
