http, front, daemon: a stop loses no connection to the close of the socket

Cause: the kernel completes handshakes on its own, and resets what it has completed between the last accept of the loop and the close of the listening socket. Role vm closed the socket just before a poll, so a whole turn of the loop lay between.

Result: http/tests/server/stop-listening is red with the filter left out ("connected" instead of "no answer").

--- a/packages/daemon/gd-http.c
+++ b/packages/daemon/gd-http.c
@@ -1,4 +1,5 @@
 #include "daemon/gd.h"
+#include "http/ht-listener.h"
 
 #define LISTEN_BACKLOG 512
 
@@ -183,6 +184,11 @@
 	return 0;
 }
 
+int gd_http_drop_attempts(struct gd *gd)
+{
+	return ht_listener_drop_attempts(&gd->http.listener);
+}
+
 void gd_http_stop_listening(struct gd *gd)
 {
 	if (!gd->http.listening)
--- a/packages/daemon/gd-loop.c
+++ b/packages/daemon/gd-loop.c
@@ -1,4 +1,5 @@
 #include "daemon/gd.h"
+#include "http/ht-listener.h"
 
 /*
  * The load balancer sends requests until its next readiness check, so a
@@ -84,6 +85,16 @@
 	nd_shutdown(gd->node, gd_clock());
 }
 
+/* Drops attempts to connect; what was accepted is still answered. */
+static void begin_flushing(struct gd *gd, gb_time now)
+{
+	gd->phase = GD_FLUSHING;
+	gd->loop.flush_started_at = now;
+	gd->loop.closing_since = now;
+	gd_event(gd, EV_STOP_CONNECTIONS, GB_STR(""), GB_STR(""),
+		 -gd_http_drop_attempts(gd), 0);
+}
+
 /* Advances the graceful stop as the node, callers and peers permit. */
 static void advance_stop(struct gd *gd, bool peers_idle)
 {
@@ -94,10 +105,11 @@
 		    g_hash_table_size(gd->http.pending_requests) ||
 		    now < gd->loop.stop_started_at + STOP_ACCEPT_TIME)
 			return;
-		gd->phase = GD_FLUSHING;
-		gd->loop.flush_started_at = now;
-		gd_http_stop_listening(gd);
+		begin_flushing(gd, now);
 	}
+	if (now < gd->loop.closing_since + HT_HANDSHAKE_TIME)
+		return;
+	gd_http_stop_listening(gd);
 	/* Requests that arrive late are answered within their deadlines. */
 	if (g_hash_table_size(gd->http.pending_requests))
 		gd->loop.flush_started_at = now;
--- a/packages/daemon/gd.h
+++ b/packages/daemon/gd.h
@@ -40,7 +40,8 @@
 enum gd_phase {
 	GD_RUNNING,
 	GD_STOPPING, /* the node finishes its requests */
-	GD_FLUSHING /* the last answers are written */
+	/* the last answers are written, and new attempts to connect dropped */
+	GD_FLUSHING
 };
 
 struct gd_loop {
@@ -49,6 +50,7 @@
 	uv_timer_t tick_timer;
 	GQueue deferred; /* of struct gd_deferred */
 	gb_time stop_started_at;
+	gb_time closing_since; /* attempts to connect are dropped from then */
 	gb_time flush_started_at;
 };
 
@@ -162,6 +164,9 @@
 extern const size_t gd_admin_routes_len;
 
 int gd_http_init(struct gd *gd);
+
+/* Drops attempts to connect; returns 0 or a negative error of libuv. */
+int gd_http_drop_attempts(struct gd *gd);
 void gd_http_stop_listening(struct gd *gd);
 
 /* Closes idle connections; returns true if no connection is left. */
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -25,7 +25,7 @@
 	FR_RUNNING,
 	/* not ready; keep-alive connections close after their next answer */
 	FR_STOPPING,
-	/* idle connections are closed as well, and no new ones accepted */
+	/* idle connections are closed as well, and new attempts dropped */
 	FR_CLOSING
 };
 
@@ -83,6 +83,7 @@
 	enum fr_phase phase;
 	gb_time started_at;
 	gb_time stopping_since; /* when SIGTERM was received */
+	gb_time closing_since; /* when the phase FR_CLOSING began */
 	bool was_ready;
 	struct gb_rng rng;
 	struct met_registry metrics;
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -1,4 +1,5 @@
 #include "front/fr-internal.h"
+#include "http/ht-listener.h"
 
 #include <signal.h>
 #include <string.h>
@@ -78,7 +79,8 @@
 	struct fr *fr = check->data;
 
 	ht_memory_relieve(&fr->memory);
-	if (fr->phase == FR_CLOSING)
+	if (fr->phase == FR_CLOSING &&
+	    ht_now() - fr->closing_since >= HT_HANDSHAKE_TIME)
 		ht_server_stop_listening(&fr->caller_server);
 }
 
@@ -153,6 +155,17 @@
 	return fr->stopping_since + fr->settings.grace_period - GRACE_MARGIN;
 }
 
+/* Drops attempts to connect, and closes connections that are idle. */
+static void begin_closing(struct fr *fr)
+{
+	struct ev_event event = { .code = EV_STOP_CONNECTIONS };
+
+	fr->phase = FR_CLOSING;
+	fr->closing_since = ht_now();
+	event.num1 = -ht_server_drop_attempts(&fr->caller_server);
+	fr_log_event(fr, &event);
+}
+
 static void continue_stop(struct fr *fr)
 {
 	gb_time now = ht_now();
@@ -164,9 +177,11 @@
 	}
 	if (now - fr->stopping_since < LB_REMOVAL_TIME)
 		return;
-	fr->phase = FR_CLOSING;
+	if (fr->phase != FR_CLOSING)
+		begin_closing(fr);
 	ht_server_close_idle(&fr->caller_server);
-	if (!fr->caller_server.conns.length && !fr->queries.length)
+	if (!ht_server_is_listening(&fr->caller_server) &&
+	    !fr->caller_server.conns.length && !fr->queries.length)
 		finish_stop(fr);
 }
 
--- a/packages/http/ht-server.c
+++ b/packages/http/ht-server.c
@@ -1,4 +1,5 @@
 #include "http/ht-conn.h"
+#include "http/ht-listener.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -353,12 +354,22 @@
 			 on_connection);
 }
 
+int ht_server_drop_attempts(struct ht_server *server)
+{
+	return ht_listener_drop_attempts(&server->listener);
+}
+
 void ht_server_stop_listening(struct ht_server *server)
 {
-	if (!uv_is_closing((uv_handle_t *)&server->listener))
+	if (ht_server_is_listening(server))
 		uv_close((uv_handle_t *)&server->listener, NULL);
 }
 
+bool ht_server_is_listening(const struct ht_server *server)
+{
+	return !uv_is_closing((const uv_handle_t *)&server->listener);
+}
+
 void ht_server_close_conns(struct ht_server *server)
 {
 	while (server->conns.length)
--- a/packages/http/ht-server.h
+++ b/packages/http/ht-server.h
@@ -86,12 +86,21 @@
 /* Closes the listening socket and all connections. */
 void ht_server_stop(struct ht_server *server);
 
+/*
+ * Drops attempts to connect, so that the listening socket can be closed later
+ * (see ht-listener.h). Returns 0 or a negative error of libuv.
+ */
+int ht_server_drop_attempts(struct ht_server *server);
+
 /*
  * Closes the listening socket. Connections that the kernel has accepted are
- * lost with it, so this is called right after the loop has polled for them.
+ * lost with it, so this is called HT_HANDSHAKE_TIME after
+ * ht_server_drop_attempts(), right after the loop has polled for them.
  */
 void ht_server_stop_listening(struct ht_server *server);
 
+bool ht_server_is_listening(const struct ht_server *server);
+
 /*
  * Closes the connections without an exchange or unread bytes. A new connection
  * is left open for a moment, since its first request may be on the way.
--- a/packages/http/tests/server-test.c
+++ b/packages/http/tests/server-test.c
@@ -2,6 +2,8 @@
 #include "script/scr.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -10,6 +12,9 @@
 /* Bytes of an answer, more than the buffers of a connection hold. */
 #define ANSWER_BYTES (16 * 1024 * 1024)
 
+/* Time in which an attempt to connect on the loopback succeeds or fails. */
+#define ATTEMPT_WAIT_MS 100
+
 /* Runs a server on a loopback address; the script plays one client. */
 struct ctx {
 	uv_loop_t loop;
@@ -94,12 +99,19 @@
 	g_free(ctx);
 }
 
-static void connect_client(struct ctx *ctx)
+static struct sockaddr_in server_address(const struct ctx *ctx)
 {
 	struct sockaddr_in addr = { .sin_family = AF_INET,
 				    .sin_port = htons(ctx->port) };
 
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return addr;
+}
+
+static void connect_client(struct ctx *ctx)
+{
+	struct sockaddr_in addr = server_address(ctx);
+
 	if (ctx->client >= 0)
 		close(ctx->client);
 	ctx->client = socket(AF_INET, SOCK_STREAM, 0);
@@ -215,6 +227,81 @@
 	gb_buf_addf(out, "connections=%u\n", ctx->server.conns.length);
 }
 
+/* connect: the kernel accepts a connection that the server has not seen yet */
+static void cmd_connect(void *data, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	(void)args;
+	(void)out;
+	connect_client(data);
+}
+
+/* request: the client sends a request on its connection */
+static void cmd_request(void *data, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+	struct ctx *ctx = data;
+
+	(void)args;
+	if (send(ctx->client, request, strlen(request), MSG_NOSIGNAL) < 0)
+		gb_buf_add(out, GB_STR("cannot send\n"));
+	run_loop(ctx);
+	print_connections(ctx, out);
+}
+
+static const char *describe_attempt(int fd)
+{
+	struct pollfd polled = { .fd = fd, .events = POLLOUT };
+	socklen_t len = sizeof(int);
+	int error;
+
+	if (!poll(&polled, 1, ATTEMPT_WAIT_MS))
+		return "no answer";
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len))
+		error = errno;
+	return error ? strerror(error) : "connected";
+}
+
+/* attempt: another client tries to connect, while the loop does not run */
+static void cmd_attempt(void *data, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	struct sockaddr_in addr = server_address(ctx);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	(void)args;
+	if (!connect(fd, (struct sockaddr *)&addr, sizeof(addr)) ||
+	    errno == EINPROGRESS)
+		gb_buf_addf(out, "%s\n", describe_attempt(fd));
+	else
+		gb_buf_addf(out, "%s\n", strerror(errno));
+	close(fd);
+}
+
+/* drop: attempts to connect are dropped from now on */
+static void cmd_drop(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	gb_buf_addf(out, "error=%d\n", ht_server_drop_attempts(&ctx->server));
+}
+
+/* unlisten: the listening socket is closed */
+static void cmd_unlisten(void *data, const struct scr_args *args,
+			 struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	(void)out;
+	ht_server_stop_listening(&ctx->server);
+	run_loop(ctx);
+}
+
 /* expire s=: closes what is idle for too long, that many seconds from now */
 static void cmd_expire(void *data, const struct scr_args *args,
 		       struct gb_buf *out)
@@ -263,6 +350,11 @@
 		{ GB_STR_INIT("status"), cmd_status },
 		{ GB_STR_INIT("leave"), cmd_leave },
 		{ GB_STR_INIT("stop"), cmd_stop },
+		{ GB_STR_INIT("connect"), cmd_connect },
+		{ GB_STR_INIT("request"), cmd_request },
+		{ GB_STR_INIT("attempt"), cmd_attempt },
+		{ GB_STR_INIT("drop"), cmd_drop },
+		{ GB_STR_INIT("unlisten"), cmd_unlisten },
 		{ GB_STR_INIT("expire"), cmd_expire },
 		{ GB_STR_INIT("read"), cmd_read },
 	};
