suspect, front: an answer removes the record of a crashing request

Cause: an answer clears a request in the tables of the VMs, but its record in the store stayed for ten minutes. A VM that starts meanwhile counts its crashes again, and one more lost run there quarantines a sound request at all VMs. Also, a keeper that was not told of a clear took fewer crashes for old ones, and a VM removed a record ten minutes after its own last crash though another VM had replaced it since.

Change: the VM that keeps a record removes it on an answer, and so does the VM that adds up lost runs, which is told of answers. Crashes that other VMs tell of keep a record for longer. A crash is dated by when it was counted, not by when it was told. Events say that a record was removed, that there is none for want of room (that was logged as a failed call that is repeated), and that objects beside the records cannot be read (they were skipped silently).

--- a/packages/forward/fw-suspect.c
+++ b/packages/forward/fw-suspect.c
@@ -37,8 +37,12 @@
 void fw_clear_suspicion(const struct fw_request *request, gb_time now)
 {
 	struct fw_engine *engine = request->engine;
+	uint32_t crashes;
 
-	if (engine->suspects &&
-	    sus_clear(engine->suspects, now, request->fingerprint))
-		engine->ops->report_answer(engine->ctx, request->fingerprint);
+	if (!engine->suspects)
+		return;
+	crashes = sus_clear(engine->suspects, now, request->fingerprint);
+	if (crashes)
+		engine->ops->report_answer(engine->ctx, request->fingerprint,
+					   crashes);
 }
--- a/packages/forward/fw.h
+++ b/packages/forward/fw.h
@@ -147,8 +147,12 @@
 	/* Tells other VMs how many upstreams a request may have crashed. */
 	void (*report_crashes)(void *ctx, uint64_t fingerprint,
 			       uint32_t crashes);
-	/* Tells that a request of which others may have heard was answered. */
-	void (*report_answer)(void *ctx, uint64_t fingerprint);
+	/*
+	 * Tells that a request was answered after crashes of which other VMs
+	 * may have heard.
+	 */
+	void (*report_answer)(void *ctx, uint64_t fingerprint,
+			      uint32_t crashes);
 };
 
 /* Whether a route gets more requests than its upstreams can serve. */
--- a/packages/forward/tests/forward-test.c
+++ b/packages/forward/tests/forward-test.c
@@ -129,11 +129,12 @@
 	print_line(ctx, "tells other VMs of %u crashes", crashes);
 }
 
-static void on_report_answer(void *data, uint64_t fingerprint)
+static void on_report_answer(void *data, uint64_t fingerprint, uint32_t crashes)
 {
 	struct ctx *ctx = data;
 
 	(void)fingerprint;
+	(void)crashes;
 	print_line(ctx, "tells that a request with crashes was answered");
 }
 
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -229,13 +229,22 @@
 void fr_keep_init(struct fr *fr);
 
 /* Keeps a record of the request in the store if it is quarantined. */
-void fr_keep_crashes(struct fr *fr, uint64_t fingerprint, uint32_t crashes);
+void fr_keep_crashes(struct fr *fr, uint64_t fingerprint);
+
+/* Records crashes that another VM has counted and keeps a record of. */
+void fr_keep_told(struct fr *fr, const struct sus_record *record);
+
+/* Removes the record of a quarantined request, since it was answered. */
+void fr_keep_cleared(struct fr *fr, uint64_t fingerprint);
 
 /* Ends a call that has timed out, and makes the one that is due. */
 void fr_keep_tick(struct fr *fr);
 
-/* Tells the VM that adds up the lost runs of a request that it was answered. */
-void fr_suspect_tell_answer(void *ctx, uint64_t fingerprint);
+/*
+ * Tells the VM that adds up the lost runs of a request that it was answered
+ * after so many crashes.
+ */
+void fr_suspect_tell_answer(void *ctx, uint64_t fingerprint, uint32_t crashes);
 
 /* Tells other VMs of lost runs, and asks one for what it suspects. */
 void fr_suspect_tick(struct fr *fr);
--- a/packages/front/fr-keep.c
+++ b/packages/front/fr-keep.c
@@ -36,36 +36,54 @@
 	fr_log_event(keep->fr, &event);
 }
 
+static struct sus_kept to_kept(const struct sus_record *record)
+{
+	return (struct sus_kept){ .fingerprint = record->fingerprint,
+				  .crashes = record->crashes,
+				  .crashed_at = ht_now() - record->age };
+}
+
 /* Learns of a request from its record in the store. */
 static void on_record(void *ctx, const struct fr_record *record)
 {
 	struct fr_keep *keep = ctx;
 	struct fr *fr = keep->fr;
-	gb_time now = ht_now();
 	gb_time age =
 		g_get_real_time() * GB_USEC - record->crashed_at_ms * GB_MSEC;
 	const struct sus_record crashes = { .fingerprint = record->fingerprint,
 					    .crashes = record->crashes,
 					    .age = MAX(age, 0) };
-	const struct sus_kept kept = { .fingerprint = record->fingerprint,
-				       .crashes = record->crashes,
-				       .crashed_at = now - crashes.age,
-				       .is_stored = true };
+	struct sus_kept kept = to_kept(&crashes);
 
-	keep->records_new += sus_merge(fr->engine.suspects, now, &crashes);
+	kept.is_stored = true;
+	keep->records_new += sus_merge(fr->engine.suspects, ht_now(), &crashes);
 	/* A few VMs are enough to remove what the others have left. */
 	if (mem_is_seed(fr->members))
 		sus_keep(&keep->keeper, &kept);
 }
 
+/* Logs objects of another writer, which cost only themselves. */
+static void log_invalid_records(struct fr *fr, uint32_t invalid)
+{
+	const struct ev_event event = { .code = EV_SUSPECT_RECORDS_INVALID,
+					.num1 = invalid };
+
+	if (!invalid)
+		return;
+	met_add(&fr->metrics, MET_OBJECTS_INVALID, invalid);
+	fr_log_event(fr, &event);
+}
+
 static bool read_records(struct fr_keep *keep)
 {
 	struct ev_event event = { .code = EV_SUSPECTS_READ };
+	uint32_t invalid;
 
 	keep->records_new = 0;
 	if (keep->fr->platform->read_records(gb_buf_str(&keep->call.body),
-					     on_record, keep))
+					     on_record, keep, &invalid))
 		return false;
+	log_invalid_records(keep->fr, invalid);
 	event.num1 = keep->records_new;
 	event.num2 = ht_now() - keep->fr->started_at;
 	if (event.num1)
@@ -103,6 +121,8 @@
 	gb_buf_free(&keep->call.body);
 	if (succeeded && keep->step == SUS_KEEP_WRITE)
 		log_step(keep, EV_SUSPECT_KEPT, keep->kept.crashes);
+	if (succeeded && keep->step == SUS_KEEP_REMOVE)
+		log_step(keep, EV_SUSPECT_REMOVED, keep->kept.is_cleared);
 	if (!succeeded && !failed_before)
 		log_step(keep, EV_SUSPECT_RECORDS_FAILED,
 			 answered ? keep->http_status : 0);
@@ -174,26 +194,43 @@
 	fr->keep.fr = fr;
 }
 
-void fr_keep_crashes(struct fr *fr, uint64_t fingerprint, uint32_t crashes)
+void fr_keep_crashes(struct fr *fr, uint64_t fingerprint)
 {
-	const struct sus_kept kept = { .fingerprint = fingerprint,
-				       .crashes = crashes,
-				       .crashed_at = ht_now() };
-	const struct ev_event too_many = { .code = EV_SUSPECT_RECORDS_FAILED,
-					   .num1 = fingerprint,
-					   .detail =
-						   GB_STR("reason=too_many") };
+	const struct sus_table *suspects = fr->engine.suspects;
+	gb_time now = ht_now();
+	struct sus_record record;
+	struct sus_kept kept;
+	struct ev_event not_kept = { .code = EV_SUSPECT_NOT_KEPT,
+				     .num1 = fingerprint };
 
-	if (sus_state(fr->engine.suspects, ht_now(), fingerprint) !=
-	    SUS_QUARANTINED)
+	if (sus_state(suspects, now, fingerprint) != SUS_QUARANTINED ||
+	    !sus_find(suspects, now, fingerprint, &record))
 		return;
+	kept = to_kept(&record);
 	if (!sus_keep(&fr->keep.keeper, &kept)) {
-		fr_log_event(fr, &too_many);
+		not_kept.num2 = record.crashes;
+		fr_log_event(fr, &not_kept);
 		return;
 	}
 	fr_keep_tick(fr);
 }
 
+void fr_keep_told(struct fr *fr, const struct sus_record *record)
+{
+	const struct sus_kept told = to_kept(record);
+
+	sus_keep_told(&fr->keep.keeper, &told);
+}
+
+/* The VM that adds up the lost runs of a request is told of its answers. */
+void fr_keep_cleared(struct fr *fr, uint64_t fingerprint)
+{
+	bool adds_up = !mem_rank(fr->members, MEM_ALL, fingerprint);
+
+	sus_keep_cleared(&fr->keep.keeper, fingerprint, adds_up);
+	fr_keep_tick(fr);
+}
+
 void fr_keep_tick(struct fr *fr)
 {
 	struct fr_keep *keep = &fr->keep;
--- a/packages/front/fr-suspect.c
+++ b/packages/front/fr-suspect.c
@@ -73,7 +73,7 @@
 void fr_suspect_report(void *ctx, uint64_t fingerprint, uint32_t crashes)
 {
 	announce(ctx, fingerprint, crashes);
-	fr_keep_crashes(ctx, fingerprint, crashes);
+	fr_keep_crashes(ctx, fingerprint);
 }
 
 /*
@@ -95,12 +95,14 @@
 	gb_buf_free(&bytes);
 }
 
-void fr_suspect_tell_answer(void *ctx, uint64_t fingerprint)
+void fr_suspect_tell_answer(void *ctx, uint64_t fingerprint, uint32_t crashes)
 {
 	const struct msg_run_end run_end = { .fingerprint = fingerprint,
 					     .answered = true };
 
 	tell_run_end(ctx, &run_end);
+	if (crashes >= CRASHES_MAX)
+		fr_keep_cleared(ctx, fingerprint);
 }
 
 static void tell_loss(void *ctx, const struct sus_loss *loss)
@@ -136,7 +138,9 @@
 	uint32_t crashes;
 
 	if (m->answered) {
-		sus_clear(suspects, now, m->fingerprint);
+		crashes = sus_clear(suspects, now, m->fingerprint);
+		if (crashes >= CRASHES_MAX)
+			fr_keep_cleared(fr, m->fingerprint);
 		return;
 	}
 	if (!sus_run_lost(suspects, now - m->end_age, m->fingerprint,
@@ -155,6 +159,7 @@
 
 	if (!sus_merge(fr->engine.suspects, ht_now(), &record))
 		return;
+	fr_keep_told(fr, &record);
 	log_crashes(fr, m->fingerprint, m->crashes);
 	announce(fr, m->fingerprint, m->crashes);
 }
@@ -217,7 +222,10 @@
 			.age = m->suspects[i].age,
 		};
 
-		event.num1 += sus_merge(fr->engine.suspects, now, &record);
+		if (!sus_merge(fr->engine.suspects, now, &record))
+			continue;
+		event.num1++;
+		fr_keep_told(fr, &record);
 	}
 	event.num2 = now - fr->started_at;
 	if (event.num1)
--- a/packages/front/fr.h
+++ b/packages/front/fr.h
@@ -167,7 +167,12 @@
 	void (*write_record)(const struct fr_record *record, bool replaces,
 			     struct gb_buf *out);
 	void (*write_record_removal)(uint64_t fingerprint, struct gb_buf *out);
-	int (*read_records)(struct gb_str body, fr_record_fn visit, void *ctx);
+	/*
+	 * Visits the records of a list and counts the objects that are none;
+	 * returns 0, or -1 if it is no list.
+	 */
+	int (*read_records)(struct gb_str body, fr_record_fn visit, void *ctx,
+			    uint32_t *invalid);
 };
 
 /* Reads the settings again; returns the number of problems. */
--- a/packages/suspect/sus-keep.c
+++ b/packages/suspect/sus-keep.c
@@ -19,20 +19,56 @@
 	return NULL;
 }
 
+/* Returns the record of a request, a new one if there is room, or NULL. */
+static struct sus_kept *find_or_add_kept(struct sus_keeper *keeper,
+					 uint64_t fingerprint)
+{
+	struct sus_kept *known = find_kept(keeper, fingerprint);
+
+	if (known)
+		return known;
+	if (keeper->kept_len == SUS_KEPT_MAX)
+		return NULL;
+	known = &keeper->kept[keeper->kept_len++];
+	*known = (struct sus_kept){ .fingerprint = fingerprint };
+	return known;
+}
+
 bool sus_keep(struct sus_keeper *keeper, const struct sus_kept *kept)
 {
-	struct sus_kept *known = find_kept(keeper, kept->fingerprint);
+	struct sus_kept *known = find_or_add_kept(keeper, kept->fingerprint);
 
-	if (known && known->crashes >= kept->crashes)
-		return true;
-	if (!known && keeper->kept_len == SUS_KEPT_MAX)
-		return false;
 	if (!known)
-		known = &keeper->kept[keeper->kept_len++];
-	*known = *kept;
+		return false;
+	if (known->is_cleared || known->crashes < kept->crashes)
+		*known = *kept;
 	return true;
 }
 
+void sus_keep_told(struct sus_keeper *keeper, const struct sus_kept *told)
+{
+	struct sus_kept *known = find_kept(keeper, told->fingerprint);
+
+	if (!known || told->crashed_at <= known->crashed_at)
+		return;
+	known->crashes = told->crashes;
+	known->crashed_at = told->crashed_at;
+	known->is_cleared = false;
+}
+
+void sus_keep_cleared(struct sus_keeper *keeper, uint64_t fingerprint,
+		      bool is_responsible)
+{
+	struct sus_kept *known = is_responsible
+					 ? find_or_add_kept(keeper, fingerprint)
+					 : find_kept(keeper, fingerprint);
+
+	if (!known)
+		return;
+	known->is_cleared = true;
+	known->is_stored = true;
+}
+
 enum sus_keep_step sus_keep_next(const struct sus_keeper *keeper, gb_time now,
 				 struct sus_kept *kept)
 {
@@ -47,7 +83,7 @@
 			*kept = *at;
 			return SUS_KEEP_WRITE;
 		}
-		if (now - at->crashed_at > KEEP_TIME) {
+		if (at->is_cleared || now - at->crashed_at > KEEP_TIME) {
 			*kept = *at;
 			step = SUS_KEEP_REMOVE;
 		}
@@ -55,6 +91,15 @@
 	return keeper->has_read ? step : SUS_KEEP_READ;
 }
 
+/* Tells whether nothing was recorded of the request while a call ran. */
+static bool is_unchanged(const struct sus_kept *known,
+			 const struct sus_kept *kept)
+{
+	return known->crashes == kept->crashes &&
+	       known->crashed_at == kept->crashed_at &&
+	       known->is_cleared == kept->is_cleared;
+}
+
 static void apply_success(struct sus_keeper *keeper, enum sus_keep_step step,
 			  const struct sus_kept *kept)
 {
@@ -65,7 +110,7 @@
 		return;
 	}
 	known = find_kept(keeper, kept->fingerprint);
-	if (!known || known->crashes != kept->crashes)
+	if (!known || !is_unchanged(known, kept))
 		return;
 	if (step == SUS_KEEP_WRITE)
 		known->is_stored = true;
--- a/packages/suspect/sus-keep.h
+++ b/packages/suspect/sus-keep.h
@@ -14,8 +14,8 @@
  *	A keeper decides on the calls to the store, which are few: one at a
  *	time, with a pause between two of them that doubles after a failure. A
  *	further crash replaces the record of a request. A record is removed some
- *	time after the last crash. The number of records is bounded; above it
- *	further requests have none.
+ *	time after the last crash, or once the request has been answered. The
+ *	number of records is bounded; above it further requests have none.
  */
 
 #include "suspect/sus.h"
@@ -35,6 +35,7 @@
 	uint32_t crashes;
 	gb_time crashed_at; /* the last time */
 	bool is_stored; /* in the store as it is here */
+	bool is_cleared; /* answered since, so the record is to be removed */
 };
 
 struct sus_keeper {
@@ -51,6 +52,19 @@
  */
 bool sus_keep(struct sus_keeper *keeper, const struct sus_kept *kept);
 
+/*
+ * Records crashes that another VM has counted. If this VM keeps the record as
+ * well, it stays for as long as the other one needs it.
+ */
+void sus_keep_told(struct sus_keeper *keeper, const struct sus_kept *told);
+
+/*
+ * Records that a request was answered: its record is removed if this VM keeps
+ * it, or in any case if this VM is responsible for that.
+ */
+void sus_keep_cleared(struct sus_keeper *keeper, uint64_t fingerprint,
+		      bool is_responsible);
+
 /* Returns the call that is due, and for a request what it is about. */
 enum sus_keep_step sus_keep_next(const struct sus_keeper *keeper, gb_time now,
 				 struct sus_kept *kept);
--- a/packages/suspect/sus.c
+++ b/packages/suspect/sus.c
@@ -221,14 +221,14 @@
 	return true;
 }
 
-bool sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint)
+uint32_t sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint)
 {
 	struct entry *entry = find_entry(table, fingerprint);
-	bool was_shared;
+	uint32_t crashes_shared;
 
 	if (!entry)
-		return false;
-	was_shared = entry->is_shared;
+		return 0;
+	crashes_shared = entry->is_shared ? entry->crashes : 0;
 	/* The entry stays, since other VMs may still tell of its crashes. */
 	entry->crashes = 0;
 	entry->cleared_at = now;
@@ -236,7 +236,7 @@
 	entry->loss_is_new = false;
 	entry->is_shared = false;
 	set_state(table, entry, SUS_GOOD);
-	return was_shared;
+	return crashes_shared;
 }
 
 void sus_run_abandoned(struct sus_table *table, uint64_t fingerprint)
@@ -270,6 +270,26 @@
 	return true;
 }
 
+static struct sus_record to_record(const struct entry *entry, gb_time now)
+{
+	return (struct sus_record){
+		.fingerprint = entry->fingerprint,
+		.crashes = entry->crashes,
+		.age = MAX(now - entry->crashed_at, 0),
+	};
+}
+
+bool sus_find(const struct sus_table *table, gb_time now, uint64_t fingerprint,
+	      struct sus_record *record)
+{
+	const struct entry *entry = find_entry(table, fingerprint);
+
+	if (!entry || !entry->crashes)
+		return false;
+	*record = to_record(entry, now);
+	return true;
+}
+
 void sus_each_crashed(const struct sus_table *table, gb_time now,
 		      void (*visit)(void *ctx, const struct sus_record *record),
 		      void *ctx)
@@ -277,11 +297,7 @@
 	for (const GList *link = table->not_good.tail; link;
 	     link = link->prev) {
 		const struct entry *entry = link->data;
-		const struct sus_record record = {
-			.fingerprint = entry->fingerprint,
-			.crashes = entry->crashes,
-			.age = MAX(now - entry->crashed_at, 0),
-		};
+		const struct sus_record record = to_record(entry, now);
 
 		if (entry->crashes)
 			visit(ctx, &record);
--- a/packages/suspect/sus.h
+++ b/packages/suspect/sus.h
@@ -71,6 +71,10 @@
 			 uint64_t fingerprint);
 uint32_t sus_crashes(const struct sus_table *table, uint64_t fingerprint);
 
+/* Reads the crashes of a request; false if it has none. */
+bool sus_find(const struct sus_table *table, gb_time now, uint64_t fingerprint,
+	      struct sus_record *record);
+
 /* Marks the canary, or the isolated run, as running. */
 void sus_run_begin(struct sus_table *table, gb_time now, uint64_t fingerprint);
 
@@ -93,9 +97,9 @@
 
 /*
  * Makes a request with crashes good again, since a run had an answer. Returns
- * whether other VMs may know of the crashes.
+ * the number of crashes if other VMs may know of them, else 0.
  */
-bool sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint);
+uint32_t sus_clear(struct sus_table *table, gb_time now, uint64_t fingerprint);
 
 /*
  * Merges the crashes seen by another VM. Returns whether there were more, and
--- a/packages/suspect/tests/keep-test.c
+++ b/packages/suspect/tests/keep-test.c
@@ -16,24 +16,56 @@
 	return g_new0(struct ctx, 1);
 }
 
+static uint64_t read_fingerprint(const struct scr_args *args)
+{
+	int64_t fingerprint = 0;
+
+	gb_str_to_int(scr_word(args, 0), 1, INT64_MAX, &fingerprint);
+	return fingerprint;
+}
+
 /* keep FINGERPRINT crashes= at= stored=: keeps a record; times are in ms */
 static void cmd_keep(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
 {
 	struct ctx *ctx = data;
 	struct sus_kept kept = {
+		.fingerprint = read_fingerprint(args),
 		.crashes = scr_int(args, GB_STR("crashes"), 3),
 		.crashed_at = scr_int(args, GB_STR("at"), 0) * GB_MSEC,
 		.is_stored = scr_int(args, GB_STR("stored"), 0),
 	};
-	int64_t fingerprint = 0;
 
-	gb_str_to_int(scr_word(args, 0), 1, INT64_MAX, &fingerprint);
-	kept.fingerprint = fingerprint;
 	if (!sus_keep(&ctx->keeper, &kept))
 		gb_buf_add(out, GB_STR("too many\n"));
 }
 
+/* told FINGERPRINT crashes= at=: another VM has counted crashes */
+static void cmd_told(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	struct sus_kept told = {
+		.fingerprint = read_fingerprint(args),
+		.crashes = scr_int(args, GB_STR("crashes"), 3),
+		.crashed_at = scr_int(args, GB_STR("at"), 0) * GB_MSEC,
+	};
+
+	(void)out;
+	sus_keep_told(&ctx->keeper, &told);
+}
+
+/* cleared FINGERPRINT responsible=: the request was answered */
+static void cmd_cleared(void *data, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)out;
+	sus_keep_cleared(&ctx->keeper, read_fingerprint(args),
+			 scr_int(args, GB_STR("responsible"), 0));
+}
+
 /* next at=: prints the call that is due and lets it begin */
 static void cmd_next(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
@@ -66,6 +98,8 @@
 {
 	static const struct scr_command commands[] = {
 		{ GB_STR_INIT("keep"), cmd_keep },
+		{ GB_STR_INIT("told"), cmd_told },
+		{ GB_STR_INIT("cleared"), cmd_cleared },
 		{ GB_STR_INIT("next"), cmd_next },
 		{ GB_STR_INIT("done"), cmd_done },
 	};
