upstream: an upstream that was slow once is tried again after 10 s at most

Cause: the mean service time of an unused upstream loses weight with a half-life of 2 s, so the slower a call was, the longer the upstream is avoided.

Change: after 10 s without samples the mean has no weight, and a single request tries the upstream.

Tried and not kept: 5 s.

Result: shard/tests/slow-once is red before: one request a second, and the twelfth is the first to try the slow upstream now.

--- a/packages/upstream/up.c
+++ b/packages/upstream/up.c
@@ -12,12 +12,14 @@
 #define SERVICE_TIME_WEIGHT (1.0 / 16)
 
 /*
- * Without samples the mean service time keeps its weight for the first time and
- * then loses half of it in each of the second. An upstream that was slow is
- * tried again after it, and not avoided for ever.
+ * Without samples the mean service time keeps its weight for the first time,
+ * then loses half of it in each of the second, and all of it after the third.
+ * An upstream that was slow is tried again by then, however slow it was, and
+ * not avoided for ever.
  */
 #define SERVICE_TIME_FRESH (1 * GB_SEC)
 #define SERVICE_TIME_HALF_LIFE (2 * GB_SEC)
+#define SERVICE_TIME_EXPIRY (10 * GB_SEC)
 
 /*
  * Idle time after which the instance must be verified: the restart of an
@@ -188,9 +190,12 @@
 /* The weight of the mean service time, from 1 down to 0. */
 static double service_time_weight(const struct up_upstream *up, gb_time now)
 {
-	double age = MAX(now - up->service_time_at - SERVICE_TIME_FRESH, 0);
+	gb_time age = now - up->service_time_at;
 
-	return exp2(-age / SERVICE_TIME_HALF_LIFE);
+	if (age >= SERVICE_TIME_EXPIRY)
+		return 0;
+	age = MAX(age - SERVICE_TIME_FRESH, 0);
+	return exp2(-(double)age / SERVICE_TIME_HALF_LIFE);
 }
 
 static void add_service_time(struct up_upstream *up, gb_time now,
