--- a/packages/http/ht-listener.c
+++ b/packages/http/ht-listener.c
@@ -11,8 +11,10 @@
 
 int ht_listener_drop_attempts(uv_tcp_t *listener)
 {
-	/* Connections that are accepted later inherit the filter, so it passes
-	 * all segments but those that open a connection. */
+	/*
+	 * Connections that are accepted later inherit the filter, so it passes
+	 * all segments but those that open a connection.
+	 */
 	static struct sock_filter drop_syn[] = {
 		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
 		BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
--- a/packages/suspect/sus-keep.c
+++ b/packages/suspect/sus-keep.c
@@ -66,6 +66,7 @@
 	if (!known)
 		return;
 	known->is_cleared = true;
+	/* A write that is still due is not needed any more. */
 	known->is_stored = true;
 }
 
