--- a/tests/fuzz/fz-page.c
+++ b/tests/fuzz/fz-page.c
@@ -91,7 +91,9 @@
 
 void fz_run_page(struct gb_str bytes)
 {
-	pf_read_records(bytes, check_record, NULL);
+	uint32_t invalid;
+
+	pf_read_records(bytes, check_record, NULL, &invalid);
 	for (int kind = 0; kind < FR_KINDS; kind++) {
 		check_relay(kind, bytes, true);
 		check_relay(kind, bytes, false);
