--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -155,7 +155,7 @@
 	return fr->stopping_since + fr->settings.grace_period - GRACE_MARGIN;
 }
 
-/* Drops attempts to connect, and closes connections that are idle. */
+/* Begins to drop attempts to connect; what was accepted is still served. */
 static void begin_closing(struct fr *fr)
 {
 	struct ev_event event = { .code = EV_STOP_CONNECTIONS };
