directory, front: a watch that the store cuts is renewed before it counts as failed

Cause, by a line for each call: the store closes the connections of all watches then. A reader took that for a failure of the store, told the VMs that follow it that it is behind, and asked another VM first. The others left the readers out for 1.5 s and went to the store, where each listed all objects.

Change: a watch that is closed while it waits at the store is sent again once, after 100 ms, over a new connection. Meanwhile, for 300 ms at most, the reader counts as up to date, and the VMs that wait there go on waiting. A second cut within 2 s is a failure.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -13,6 +13,9 @@
  */
 #define BACKOFF_PEER (50 * GB_MSEC)
 
+/* A store that cuts a watch again sooner than this has failed. */
+#define CUT_INTERVAL_MIN (2 * GB_SEC)
+
 /*
  * A store that is down may accept a request and never answer it, so the timeout
  * is short at first; it grows with each failure, for a slow store. An unsynced
@@ -147,6 +150,24 @@
 	follower->source_in_doubt = true;
 }
 
+/* Tells whether the current step is a watch that may wait at the store. */
+static bool waits_at_store(const struct dir_follower *follower)
+{
+	return follower->step == DIR_WATCH && !follower->from_peer &&
+	       follower->watch_wait;
+}
+
+bool dir_watch_cut(struct dir_follower *follower, gb_time now)
+{
+	if (!waits_at_store(follower) ||
+	    now - follower->renewing_until < CUT_INTERVAL_MIN)
+		return false;
+	dir_doubt_source(follower);
+	follower->due_at = now + DIR_BACKOFF_MIN;
+	follower->renewing_until = follower->due_at + DIR_ANSWER_TIME;
+	return true;
+}
+
 gb_time dir_step_timeout(const struct dir_follower *follower)
 {
 	const struct dir_timing *timing = follower->timing;
@@ -170,6 +191,8 @@
 	if (!follower->synced || follower->from_peer || follower->failures ||
 	    !follower->confirmed)
 		return false;
+	if (now < follower->renewing_until)
+		return true;
 	return now - follower->answered_at <=
 	       DIR_WATCH_PAUSE + follower->watch_wait +
 		       follower->timing->watch_margin;
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -50,6 +50,8 @@
 	bool source_in_doubt; /* it may have stopped responding */
 	bool confirmed; /* the store itself gave the last answer */
 	gb_time answered_at; /* by any source; 0: never */
+	/* the objects stay confirmed while a watch that was cut is renewed */
+	gb_time renewing_until;
 	uint32_t timeout_phase; /* which attempts have a long timeout */
 };
 
@@ -70,6 +72,13 @@
 /* Puts the source in doubt until it answers. */
 void dir_doubt_source(struct dir_follower *follower);
 
+/*
+ * Records that the connection of the running call was closed. Returns false if
+ * that is a failure. A watch that was waiting at the store is renewed once over
+ * a new connection instead: the store may just have dropped its history.
+ */
+bool dir_watch_cut(struct dir_follower *follower, gb_time now);
+
 /*
  * Tells whether the list goes on after a page that ended with that name. The
  * next page begins after it, so a page without a name, or that ends where the
--- a/packages/directory/tests/directory-test.c
+++ b/packages/directory/tests/directory-test.c
@@ -122,6 +122,18 @@
 	print(ctx, out);
 }
 
+/* cut at_ms=: the connection of the running call is closed */
+static void cmd_cut(void *data, const struct scr_args *args, struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	if (!dir_watch_cut(&ctx->follower, at(args))) {
+		gb_buf_add(out, GB_STR("a failure, "));
+		dir_step_failed(&ctx->follower, at(args));
+	}
+	print(ctx, out);
+}
+
 static void print_audit(const struct dir_audit *audit, struct gb_buf *out)
 {
 	gb_time due = dir_audit_due(audit, 300 * GB_MSEC);
@@ -166,6 +178,7 @@
 		{ GB_STR_INIT("source"), cmd_source },
 		{ GB_STR_INIT("confirmed"), cmd_confirmed },
 		{ GB_STR_INIT("doubt"), cmd_doubt },
+		{ GB_STR_INIT("cut"), cmd_cut },
 		{ GB_STR_INIT("audit-listed"), cmd_audit_listed },
 		{ GB_STR_INIT("audit-watched"), cmd_audit_watched },
 	};
--- a/packages/directory/tests/explore-test.c
+++ b/packages/directory/tests/explore-test.c
@@ -23,7 +23,13 @@
 /* Calls after the last silence of which one may fail. */
 #define FAILING_CALLS 3
 
-enum failure { NO_FAILURE, ANSWER_LOST, CONNECTION_REFUSED, FAILURES };
+enum failure {
+	NO_FAILURE,
+	ANSWER_LOST,
+	CONNECTION_REFUSED,
+	CONNECTION_CLOSED, /* halfway through the wait */
+	FAILURES
+};
 
 struct plan {
 	gb_time silences[SILENCES_MAX];
@@ -89,6 +95,15 @@
 	dir_step_failed(&sim->follower, sim->now);
 }
 
+/* The store closes the connection, and has sent no change before that. */
+static void close_conn(struct sim *sim)
+{
+	sim->now += sim->follower.watch_wait / 2;
+	sim->conn_opened_at = sim->now;
+	if (!dir_watch_cut(&sim->follower, sim->now))
+		dir_step_failed(&sim->follower, sim->now);
+}
+
 static void answer(struct sim *sim, gb_time at)
 {
 	bool is_new = sim->known_at == GB_NEVER &&
@@ -110,6 +125,8 @@
 	sim->calls += is_after_silence;
 	if (fails && sim->plan->failure == CONNECTION_REFUSED)
 		refuse(sim);
+	else if (fails && sim->plan->failure == CONNECTION_CLOSED)
+		close_conn(sim);
 	else if (fails || is_silent(sim, at))
 		time_out(sim);
 	else
@@ -191,10 +208,10 @@
 	check_plan(&plan, bounds, timing, result);
 	for (int call = 0; call < FAILING_CALLS; call++) {
 		plan.failing_call = call;
-		plan.failure = ANSWER_LOST;
-		check_plan(&plan, bounds, timing, result);
-		plan.failure = CONNECTION_REFUSED;
-		check_plan(&plan, bounds, timing, result);
+		for (int f = ANSWER_LOST; f < FAILURES; f++) {
+			plan.failure = f;
+			check_plan(&plan, bounds, timing, result);
+		}
 	}
 }
 
--- a/packages/event/ev-table.c
+++ b/packages/event/ev-table.c
@@ -213,7 +213,7 @@
 	    "Messages in transit took too much memory; the longest incomplete one was given up.",
 	    "bytes", "bytes_of_all"),
 	ROW(EV_WATCH_RENEWED, EV_NOTICE, "watch_renewed",
-	    "A watch was sent again, since its connection may have fallen silent.",
+	    "A watch was sent again, since its connection was closed or may have fallen silent.",
 	    "revision", "waited_us"),
 	ROW(EV_FOLLOW_TIMING, EV_NOTICE, "follow_timing",
 	    "The waits for changes of the store that the bounds of the settings allow.",
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -178,6 +178,8 @@
 			  !apply_response(follower);
 
 	follower->call_running = false;
+	if (outcome == HT_LOST && fr_silence_handle_cut(follower))
+		return;
 	fr_record_source_result(follower, answered,
 				is_applied || is_history_lost);
 	if (is_applied) {
@@ -251,7 +253,7 @@
 		if (fr_silence_handle_timeout(follower))
 			return;
 		ht_call_cancel(&follower->call);
-		finish_step(follower, HT_LOST);
+		finish_step(follower, HT_NOT_SENT);
 		return;
 	}
 	follower->call_running = true;
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -179,6 +179,12 @@
  */
 bool fr_silence_handle_timeout(struct fr_follower *follower);
 
+/*
+ * Renews a watch of the store whose connection was closed while it waited.
+ * Returns false if the call of the follower is no such watch.
+ */
+bool fr_silence_handle_cut(struct fr_follower *follower);
+
 /* Tells whether a watch of the store would show that others are silent. */
 bool fr_silence_is_noticed(const struct fr *fr);
 
--- a/packages/front/fr-silence.c
+++ b/packages/front/fr-silence.c
@@ -1,11 +1,6 @@
 #include "front/fr-internal.h"
 
-/*
- * A connection may fall silent without a reset. A watch that waits for changes
- * then looks like one to which nothing has changed, so it is ended and sent
- * again over another connection, to be answered at once.
- */
-static void renew_watch(struct fr_follower *follower)
+static void log_renewal(const struct fr_follower *follower)
 {
 	const struct ev_event event = {
 		.code = EV_WATCH_RENEWED,
@@ -15,6 +10,16 @@
 	};
 
 	fr_log_event(follower->fr, &event);
+}
+
+/*
+ * A connection may fall silent without a reset. A watch that waits for changes
+ * then looks like one to which nothing has changed, so it is ended and sent
+ * again over another connection, to be answered at once.
+ */
+static void renew_watch(struct fr_follower *follower)
+{
+	log_renewal(follower);
 	fr_cancel_step(follower);
 	dir_doubt_source(&follower->state);
 	fr_schedule_step(follower, ht_now());
@@ -54,6 +59,16 @@
 	return true;
 }
 
+bool fr_silence_handle_cut(struct fr_follower *follower)
+{
+	if (!dir_watch_cut(&follower->state, ht_now()))
+		return false;
+	log_renewal(follower);
+	gb_buf_free(&follower->call.body);
+	fr_schedule_step(follower, follower->state.due_at);
+	return true;
+}
+
 bool fr_silence_is_noticed(const struct fr *fr)
 {
 	const struct fr_follower *live = &fr->followers[FR_LIVENESS_KIND];
