front: one kind asks a store that does not answer, the others wait for it

Cause: each kind of objects that a VM follows has its own attempts. A VM that is no reader makes one in four at the store, so it asked three times what one call shows.

Change: while the liveness kind has no source, the other kinds ask VMs only, and the store in one attempt of 16, for a store that fails for one kind. When the liveness kind has found a source, the others try the same one at once.

--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -167,6 +167,25 @@
 	}
 }
 
+/*
+ * Called when the liveness kind has found a source again: the other kinds try
+ * the same one, without waiting for their next attempt.
+ */
+static void resume_other_kinds(struct fr *fr)
+{
+	const struct fr_follower *live = &fr->followers[FR_LIVENESS_KIND];
+
+	for (int kind = 0; kind < FR_KINDS; kind++) {
+		struct fr_follower *follower = &fr->followers[kind];
+
+		if (kind == FR_LIVENESS_KIND || !follower->state.failures)
+			continue;
+		fr_cancel_step(follower);
+		follower->hinted_peer = live->peer;
+		fr_schedule_step(follower, ht_now());
+	}
+}
+
 /* Handles the end of a step and schedules the next one. */
 static void finish_step(struct fr_follower *follower, enum ht_outcome outcome)
 {
@@ -193,6 +212,9 @@
 	} else {
 		handle_failure(follower);
 	}
+	if (failures && !follower->state.failures &&
+	    follower->kind == FR_LIVENESS_KIND && follower->state.synced)
+		resume_other_kinds(follower->fr);
 	gb_buf_free(&follower->call.body);
 	mem_set_synced(follower->fr->members, fr_is_synced(follower->fr));
 	fr_schedule_step(follower, follower->state.due_at);
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -47,6 +47,9 @@
 #define FAILURES_PER_STORE_ATTEMPT 4
 #define FAILURES_PER_STORE_ATTEMPT_UNSYNCED 8
 
+/* The same for kinds whose objects the liveness kind shows to be readable. */
+#define FAILURES_PER_STORE_ATTEMPT_AWAITING 16
+
 /* A running VM answers sooner, or refuses the connection. */
 #define UNRESPONSIVE_AFTER (150 * GB_MSEC)
 
@@ -161,17 +164,37 @@
 	return is_avoided(peer, now) ? NULL : peer;
 }
 
+/*
+ * Tells whether a follower without a source should leave the store to the one
+ * that shows whether the store can be reached: one kind is enough to find out.
+ */
+static bool awaits_liveness(const struct fr_follower *follower)
+{
+	return follower->state.synced && follower->kind != FR_LIVENESS_KIND &&
+	       follower->fr->followers[FR_LIVENESS_KIND].state.failures;
+}
+
+/* One attempt in so many goes to the store while other VMs fail as sources. */
+static uint32_t store_attempt_period(const struct fr_follower *follower)
+{
+	if (!follower->state.synced)
+		return FAILURES_PER_STORE_ATTEMPT_UNSYNCED;
+	if (awaits_liveness(follower))
+		return FAILURES_PER_STORE_ATTEMPT_AWAITING;
+	return FAILURES_PER_STORE_ATTEMPT;
+}
+
 static bool prefers_store(const struct fr_follower *follower, gb_time now)
 {
 	uint32_t failures = follower->state.failures;
 
 	if (!reads_store(follower->fr, now)) {
-		uint32_t period = follower->state.synced
-					  ? FAILURES_PER_STORE_ATTEMPT
-					  : FAILURES_PER_STORE_ATTEMPT_UNSYNCED;
+		uint32_t period = store_attempt_period(follower);
 
 		if (!follower->state.synced && follower->peer_unresponsive)
 			return true;
+		if (failures && fr_silence_is_noticed(follower->fr))
+			return true;
 		return failures % period == period - 1;
 	}
 	if (!failures)
@@ -215,6 +238,7 @@
 	 * If all readers fail, a VM that has not tried the store yet tries it.
 	 */
 	if (peer && peer->avoid_until > now && follower->state.synced &&
+	    !awaits_liveness(follower) &&
 	    follower->state.failures < FAILURES_PER_STORE_ATTEMPT)
 		peer = choose_other_peer(follower, now);
 	follower->hinted_peer = NULL;
