front: the files that follow the store call one way

fr-directory.c, fr-silence.c and fr-source.c called each other in a circle: silence ended and scheduled steps, source asked silence whether it would notice one. The timer and the call of a step are now in fr-step.c, whether the liveness kind is at the store is for fr-source.c alone, and whether a call was cut is decided before it counts as ended. So fr-directory, fr-silence, fr-source and fr-step call only the files after them.

--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -9,8 +9,6 @@
 /* A healthy store answers sooner. */
 #define HEALTHY_STORE_LATENCY (100 * GB_MSEC)
 
-static void on_timer(uv_timer_t *timer);
-
 /*
  * Objects that a list does not name are removed only after its last page was
  * read; a page that cannot be decoded removes none.
@@ -122,14 +120,6 @@
 		fr_log_event(follower->fr, &event);
 }
 
-void fr_schedule_step(struct fr_follower *follower, gb_time at)
-{
-	gb_time left = at - ht_now();
-
-	uv_timer_start(&follower->timer, on_timer,
-		       left > 0 ? (left + GB_MSEC - 1) / GB_MSEC : 0, 0);
-}
-
 static void handle_failure(struct fr_follower *follower)
 {
 	dir_step_failed(&follower->state, ht_now());
@@ -137,15 +127,6 @@
 	fr_mirror_notify(follower);
 }
 
-void fr_cancel_step(struct fr_follower *follower)
-{
-	if (!follower->call_running)
-		return;
-	ht_call_cancel(&follower->call);
-	gb_buf_free(&follower->call.body);
-	follower->call_running = false;
-}
-
 /*
  * Called when the store has answered: repeats calls that it accepted during its
  * outage and never answered. Followers make their attempts with a long timeout
@@ -168,17 +149,17 @@
 }
 
 /*
- * Called when the liveness kind has found a source again: the other kinds try
- * the same one, without waiting for their next attempt.
+ * Once the liveness kind has found a source again, the other kinds try the same
+ * one, without waiting for their next attempt.
  */
-static void resume_other_kinds(struct fr *fr)
+static void handle_recovery(const struct fr_follower *live)
 {
-	const struct fr_follower *live = &fr->followers[FR_LIVENESS_KIND];
-
+	if (live->kind != FR_LIVENESS_KIND || !live->state.synced)
+		return;
 	for (int kind = 0; kind < FR_KINDS; kind++) {
-		struct fr_follower *follower = &fr->followers[kind];
+		struct fr_follower *follower = &live->fr->followers[kind];
 
-		if (kind == FR_LIVENESS_KIND || !follower->state.failures)
+		if (!follower->state.failures)
 			continue;
 		fr_cancel_step(follower);
 		follower->hinted_peer = live->peer;
@@ -187,18 +168,14 @@
 }
 
 /* Handles the end of a step and schedules the next one. */
-static void finish_step(struct fr_follower *follower, enum ht_outcome outcome)
+static void finish_step(struct fr_follower *follower, bool answered)
 {
 	gb_time since = follower->state.failing_since;
 	uint32_t failures = follower->state.failures;
-	bool answered = outcome == HT_ANSWERED;
 	bool is_history_lost = answered && follower->http_status == 410;
 	bool is_applied = answered && follower->http_status == 200 &&
 			  !apply_response(follower);
 
-	follower->call_running = false;
-	if (outcome == HT_LOST && fr_silence_handle_cut(follower))
-		return;
 	fr_record_source_result(follower, answered,
 				is_applied || is_history_lost);
 	if (is_applied) {
@@ -212,9 +189,8 @@
 	} else {
 		handle_failure(follower);
 	}
-	if (failures && !follower->state.failures &&
-	    follower->kind == FR_LIVENESS_KIND && follower->state.synced)
-		resume_other_kinds(follower->fr);
+	if (failures && !follower->state.failures)
+		handle_recovery(follower);
 	gb_buf_free(&follower->call.body);
 	mem_set_synced(follower->fr->members, fr_is_synced(follower->fr));
 	fr_schedule_step(follower, follower->state.due_at);
@@ -254,9 +230,14 @@
 
 static void on_done(struct ht_call *call, enum ht_outcome outcome)
 {
-	finish_step((struct fr_follower *)((char *)call -
-					   offsetof(struct fr_follower, call)),
-		    outcome);
+	struct fr_follower *follower =
+		(struct fr_follower *)((char *)call -
+				       offsetof(struct fr_follower, call));
+
+	follower->call_running = false;
+	if (outcome == HT_LOST && fr_silence_handle_cut(follower))
+		return;
+	finish_step(follower, outcome == HT_ANSWERED);
 }
 
 static const struct ht_call_ops call_ops = {
@@ -274,8 +255,8 @@
 	if (follower->call_running) {
 		if (fr_silence_handle_timeout(follower))
 			return;
-		ht_call_cancel(&follower->call);
-		finish_step(follower, HT_NOT_SENT);
+		fr_cancel_step(follower);
+		finish_step(follower, false);
 		return;
 	}
 	follower->call_running = true;
@@ -334,7 +315,8 @@
 		g_queue_init(&follower->long_polls);
 		uv_timer_init(fr->loop, &follower->timer);
 		follower->timer.data = follower;
-		uv_timer_start(&follower->timer, on_timer, 0, 0);
+		follower->on_timer = on_timer;
+		fr_schedule_step(follower, ht_now());
 	}
 	return 0;
 }
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -4,6 +4,13 @@
 /*
  * NAME
  *	fr-internal - the state of one VM, within the package
+ *
+ * DESCRIPTION
+ *	The followers of the stored objects are kept in files that call one way:
+ *	fr-directory.c runs the steps and applies what they bring, fr-silence.c
+ *	finds watches that do not return, fr-source.c chooses the source of a
+ *	step, and fr-step.c has its timer and call. Files named later do not
+ *	call those named earlier.
  */
 
 #include "directory/dir-audit.h"
@@ -55,6 +62,7 @@
 	int http_status;
 	/* fires when the step is due, or when its call times out */
 	uv_timer_t timer;
+	uv_timer_cb on_timer;
 };
 
 /* Calls to the store for the records of requests that crash upstreams. */
@@ -185,9 +193,6 @@
  */
 bool fr_silence_handle_cut(struct fr_follower *follower);
 
-/* Tells whether a watch of the store would show that others are silent. */
-bool fr_silence_is_noticed(const struct fr *fr);
-
 /* Renews watches whose silence is not noticed any more, by a new source. */
 void fr_silence_source_chosen(const struct fr_follower *follower);
 
--- a/packages/front/fr-silence.c
+++ b/packages/front/fr-silence.c
@@ -69,14 +69,6 @@
 	return true;
 }
 
-bool fr_silence_is_noticed(const struct fr *fr)
-{
-	const struct fr_follower *live = &fr->followers[FR_LIVENESS_KIND];
-
-	return !live->state.from_peer && live->state.synced &&
-	       !live->state.failures;
-}
-
 void fr_silence_source_chosen(const struct fr_follower *follower)
 {
 	if (follower->kind == FR_LIVENESS_KIND && follower->state.from_peer &&
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -164,6 +164,15 @@
 	return is_avoided(peer, now) ? NULL : peer;
 }
 
+/* Tells whether a watch of the store would show that others are silent. */
+static bool is_liveness_at_store(const struct fr *fr)
+{
+	const struct dir_follower *live =
+		&fr->followers[FR_LIVENESS_KIND].state;
+
+	return !live->from_peer && live->synced && !live->failures;
+}
+
 /*
  * Tells whether a follower without a source should leave the store to the one
  * that shows whether the store can be reached: one kind is enough to find out.
@@ -184,19 +193,25 @@
 	return FAILURES_PER_STORE_ATTEMPT;
 }
 
-static bool prefers_store(const struct fr_follower *follower, gb_time now)
+/* Tells whether a VM that is no reader makes its next attempt at the store. */
+static bool tries_store(const struct fr_follower *follower)
 {
+	uint32_t period = store_attempt_period(follower);
 	uint32_t failures = follower->state.failures;
 
-	if (!reads_store(follower->fr, now)) {
-		uint32_t period = store_attempt_period(follower);
+	if (!follower->state.synced && follower->peer_unresponsive)
+		return true;
+	if (failures && is_liveness_at_store(follower->fr))
+		return true;
+	return failures % period == period - 1;
+}
 
-		if (!follower->state.synced && follower->peer_unresponsive)
-			return true;
-		if (failures && fr_silence_is_noticed(follower->fr))
-			return true;
-		return failures % period == period - 1;
-	}
+static bool prefers_store(const struct fr_follower *follower, gb_time now)
+{
+	uint32_t failures = follower->state.failures;
+
+	if (!reads_store(follower->fr, now))
+		return tries_store(follower);
 	if (!failures)
 		return now >= follower->avoid_store_until;
 	return failures % 2 == 0;
@@ -217,7 +232,7 @@
 static gb_time direct_watch_wait(const struct fr_follower *follower)
 {
 	if (follower->kind != FR_LIVENESS_KIND &&
-	    fr_silence_is_noticed(follower->fr))
+	    is_liveness_at_store(follower->fr))
 		return FR_WATCH_WAIT_QUIET;
 	return mem_all_are_readers(follower->fr->members)
 		       ? follower->fr->timing.watch_wait
