--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -47,7 +47,10 @@
 #define FAILURES_PER_STORE_ATTEMPT 4
 #define FAILURES_PER_STORE_ATTEMPT_UNSYNCED 8
 
-/* The same for kinds whose objects the liveness kind shows to be readable. */
+/*
+ * The same for a kind that leaves the store to the liveness kind. It does not
+ * rely on that alone, since a store may fail for one kind.
+ */
 #define FAILURES_PER_STORE_ATTEMPT_AWAITING 16
 
 /* A running VM answers sooner, or refuses the connection. */
