--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -253,7 +253,8 @@
 	else if (!prefers_store(follower, now))
 		peer = choose_peer(fr, now);
 	/*
-	 * If all readers fail, a VM that has not tried the store yet tries it.
+	 * If all readers fail, a VM that has not tried the store yet tries it,
+	 * unless another VM may have the objects.
 	 */
 	if (peer && peer->avoid_until > now && follower->state.synced &&
 	    !awaits_liveness(follower) &&
