metric: labels, for the metrics of the largest organisations

Cause: a counter per organisation needs a label, and a name that comes from a configuration has to be escaped in it.

--- a/packages/metric/met-text.c
+++ b/packages/metric/met-text.c
@@ -78,6 +78,28 @@
 		ROW("http_requests_total", "HTTP requests received."),
 	[MET_HTTP_BAD] =
 		ROW("http_bad_total", "HTTP requests refused as malformed."),
+	[MET_ROLLOUT_REPORTS] =
+		ROW("rollout_reports_total",
+		    "Reports about roll-outs received from other VMs."),
+	[MET_ROLLOUT_CALLS] =
+		ROW("rollout_calls_total",
+		    "Calls to the target version of a running roll-out."),
+	[MET_KEYS_REFUSED] =
+		ROW("keys_refused_total",
+		    "Requests refused for a key that is unknown or stale."),
+	[MET_LIMIT_REFUSED] =
+		ROW("limit_refused_total",
+		    "Requests refused beyond the limit of their organisation."),
+	[MET_QUOTA_MESSAGES] =
+		ROW("quota_messages_total",
+		    "Messages about limits received from other VMs."),
+	[MET_DELEGATED] = ROW("delegated_total",
+			      "Queries handed to another VM to gather."),
+	[MET_DELEGATED_FAILED] =
+		ROW("delegated_failed_total",
+		    "Queries that another VM did not gather in time."),
+	[MET_GATHERED_FOR_OTHERS] = ROW("gathered_for_others_total",
+					"Queries gathered for other VMs."),
 };
 
 static const struct row gauges[MET_GAUGES] = {
@@ -91,6 +113,8 @@
 	[MET_MEMBERS_LIVE] =
 		ROW("members_live", "VMs of the roster that are live."),
 	[MET_CONNECTIONS] = ROW("connections", "Open caller connections."),
+	[MET_ROLLOUTS_RUNNING] =
+		ROW("rollouts_running", "Roll-outs that have not ended."),
 };
 
 static const struct row histograms[MET_HISTOGRAMS] = {
--- a/packages/metric/met.h
+++ b/packages/metric/met.h
@@ -47,6 +47,14 @@
 	MET_CONTROL_BYTES,
 	MET_HTTP_REQUESTS,
 	MET_HTTP_BAD,
+	MET_ROLLOUT_REPORTS,
+	MET_ROLLOUT_CALLS,
+	MET_KEYS_REFUSED,
+	MET_LIMIT_REFUSED,
+	MET_QUOTA_MESSAGES,
+	MET_DELEGATED,
+	MET_DELEGATED_FAILED,
+	MET_GATHERED_FOR_OTHERS,
 	MET_COUNTERS
 };
 
@@ -57,6 +65,7 @@
 	MET_CONFIG_VERSION,
 	MET_MEMBERS_LIVE,
 	MET_CONNECTIONS,
+	MET_ROLLOUTS_RUNNING,
 	MET_GAUGES
 };
 
@@ -111,6 +120,19 @@
 struct gb_str met_gauge_name(enum met_gauge gauge);
 struct gb_str met_histogram_name(enum met_histogram histogram);
 
+/* A metric with a sample for each value of one label. */
+struct met_family {
+	struct gb_str name;
+	struct gb_str help;
+	struct gb_str label;
+	bool is_counter;
+};
+
+/* Append the lines about the family, and one sample, in the same format. */
+void met_family(const struct met_family *family, struct gb_buf *out);
+void met_sample(const struct met_family *family, struct gb_str value,
+		int64_t number, struct gb_buf *out);
+
 /* Appends all metrics in the Prometheus text format. */
 void met_text(const struct met_registry *reg, struct gb_buf *out);
 
--- a/packages/metric/tests/metric-test.c
+++ b/packages/metric/tests/metric-test.c
@@ -17,6 +17,8 @@
 		     struct gb_buf *out);
 static void cmd_names(void *ctx, const struct scr_args *args,
 		      struct gb_buf *out);
+static void cmd_labels(void *ctx, const struct scr_args *args,
+		       struct gb_buf *out);
 
 static const struct scr_command commands[] = {
 	{ .name = GB_STR_INIT("bounds"), .run = cmd_bounds },
@@ -25,6 +27,7 @@
 	{ .name = GB_STR_INIT("decay"), .run = cmd_decay },
 	{ .name = GB_STR_INIT("text"), .run = cmd_text },
 	{ .name = GB_STR_INIT("names"), .run = cmd_names },
+	{ .name = GB_STR_INIT("labels"), .run = cmd_labels },
 };
 
 static void *open_ctx(void)
@@ -131,6 +134,25 @@
 	gb_buf_addf(out, "%d bad\n", bad);
 }
 
+/* labels: a family, with values that need escapes */
+static void cmd_labels(void *ctx, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	static const struct met_family family = {
+		.name = GB_STR_INIT("f"),
+		.help = GB_STR_INIT("Help."),
+		.label = GB_STR_INIT("l"),
+		.is_counter = true,
+	};
+
+	(void)ctx;
+	(void)args;
+	met_family(&family, out);
+	met_sample(&family, GB_STR("plain"), 1, out);
+	met_sample(&family, GB_STR("a\"b\\c\nd"), -2, out);
+	met_sample(&family, GB_STR(""), 3, out);
+}
+
 int main(int argc, char **argv)
 {
 	const struct scr_suite suite = {
