http: bound what callers take that do not finish their requests

Cause: a crowd of callers, each one short of the end of its body or head, took a VM to 118 MB and all its connections. Requests that arrive are bounded together now, those that make no progress end first, and ht-server.c is split by arrival, reply and turn.

--- a/packages/http/ht-request.c
+++ b/packages/http/ht-request.c
@@ -3,6 +3,9 @@
 #include <glib.h>
 #include <string.h>
 
+/* A larger buffer is freed when its request is complete. */
+#define BUFFER_KEPT_BYTES_MAX (16 * 1024)
+
 /* How the body of a request is delimited. */
 struct framing {
 	bool chunked;
@@ -115,95 +118,75 @@
 	}
 }
 
-/* Copies the head to the request and removes the request from the buffer. */
+/*
+ * Copies head and body to the request, which were parsed and decoded, and
+ * removes them from the buffer.
+ */
 static void consume_request(struct ht_reader *reader,
-			    struct ht_request *request, size_t head,
-			    size_t used)
+			    struct ht_request *request, size_t body_size)
 {
-	struct gb_str rest = gb_str_sub(gb_buf_str(&reader->in), used,
-					reader->in.len - used);
+	struct gb_str in = gb_buf_str(&reader->in);
+	size_t head = reader->head_size;
+	struct gb_str rest = gb_str_sub(in, head + body_size, in.len);
 
 	request->head = GB_BUF_INIT;
-	gb_buf_add(&request->head,
-		   gb_str_sub(gb_buf_str(&reader->in), 0, head));
+	request->body = GB_BUF_INIT;
+	gb_buf_add(&request->head, gb_str_sub(in, 0, head));
+	gb_buf_add(&request->body, gb_str_sub(in, head, body_size));
 	rebase_strings(request, reader->in.ptr, request->head.ptr);
 	if (rest.len)
 		memmove(reader->in.ptr, rest.ptr, rest.len);
+	*reader = (struct ht_reader){ .in = reader->in };
 	reader->in.len = rest.len;
-	reader->parsed = 0;
-	reader->continue_sent = false;
+	if (!rest.len && reader->in.cap > BUFFER_KEPT_BYTES_MAX)
+		gb_buf_free(&reader->in);
 }
 
-static enum ht_read need_more(struct ht_reader *reader,
-			      const struct framing *framing)
+static enum ht_read need_more(struct ht_reader *reader)
 {
-	if (!framing->expects_continue || reader->continue_sent)
+	if (!reader->expects_continue || reader->continue_sent)
 		return HT_READ_MORE;
 	reader->continue_sent = true;
 	return HT_READ_CONTINUE;
 }
 
-static enum ht_read read_sized_body(struct ht_reader *reader, size_t head,
-				    const struct framing *framing,
-				    size_t body_max, struct ht_request *request)
+static enum ht_read read_sized_body(struct ht_reader *reader, size_t body_max)
 {
-	size_t length = framing->length;
-
-	if (length > body_max)
+	if (reader->body_size > body_max)
 		return HT_READ_BODY_TOO_LARGE;
-	if (reader->in.len - head < length)
-		return need_more(reader, framing);
-	request->body = GB_BUF_INIT;
-	gb_buf_add(&request->body,
-		   gb_str_sub(gb_buf_str(&reader->in), head, length));
-	consume_request(reader, request, head, head + length);
+	if (reader->in.len - reader->head_size < reader->body_size)
+		return need_more(reader);
 	return HT_READ_REQUEST;
 }
 
-/*
- * Decodes a copy, since the decoder works in place and the body is decoded
- * again from its start when it is incomplete.
- */
-static enum ht_read read_chunked_body(struct ht_reader *reader, size_t head,
-				      const struct framing *framing,
-				      size_t body_max,
-				      struct ht_request *request)
+/* Decodes what has come since the last call. */
+static enum ht_read read_chunked_body(struct ht_reader *reader, size_t body_max)
 {
-	struct ht_chunked_decoder decoder = { .consume_trailer = 1 };
-	struct gb_buf body = GB_BUF_INIT;
-	size_t len, used;
-	ssize_t rest;
-
-	gb_buf_add(&body, gb_str_sub(gb_buf_str(&reader->in), head,
-				     reader->in.len - head));
-	len = body.len;
-	rest = len ? phr_decode_chunked(&decoder, body.ptr, &len) : -2;
-	if (rest < 0 || len > body_max) {
-		bool endless = rest == -2 &&
-			       ht_has_excess_framing(body.len - len, len);
-
-		gb_buf_free(&body);
-		if (len > body_max || endless)
-			return HT_READ_BODY_TOO_LARGE;
-		return rest == -1 ? HT_READ_BAD_REQUEST
-				  : need_more(reader, framing);
-	}
-	used = reader->in.len - rest;
-	body.len = len;
-	request->body = body;
-	consume_request(reader, request, head, used);
-	return HT_READ_REQUEST;
+	size_t begin = reader->head_size + reader->decoded;
+	size_t received = reader->in.len - begin, len = received;
+	ssize_t rest = -2;
+
+	if (received)
+		rest = phr_decode_chunked(&reader->decoder,
+					  reader->in.ptr + begin, &len);
+	if (rest == -1)
+		return HT_READ_BAD_REQUEST;
+	reader->decoded += len;
+	reader->framing_bytes += received - len - MAX(rest, 0);
+	reader->in.len = begin + len + MAX(rest, 0);
+	if (reader->decoded > body_max ||
+	    ht_has_excess_framing(reader->framing_bytes, reader->decoded))
+		return HT_READ_BODY_TOO_LARGE;
+	return rest == -2 ? need_more(reader) : HT_READ_REQUEST;
 }
 
-enum ht_read ht_reader_next(struct ht_reader *reader, size_t head_max,
-			    size_t body_max, struct ht_request *request)
+/* Parses the head; HT_READ_REQUEST says that it is complete. */
+static enum ht_read read_head(struct ht_reader *reader, size_t head_max,
+			      struct ht_request *request)
 {
 	struct framing framing = { 0 };
-	int head;
+	int head = parse_head(reader, request, &framing);
 
-	if (!reader->in.len)
-		return HT_READ_MORE;
-	head = parse_head(reader, request, &framing);
 	if (head == -1)
 		return HT_READ_BAD_REQUEST;
 	if (head == -2) {
@@ -211,19 +194,47 @@
 		return reader->in.len > head_max ? HT_READ_HEAD_TOO_LARGE
 						 : HT_READ_MORE;
 	}
-	/* The head is parsed again when more bytes of the body arrive. */
-	reader->parsed = 0;
 	if ((size_t)head > head_max)
 		return HT_READ_HEAD_TOO_LARGE;
-	if (framing.chunked)
-		return read_chunked_body(reader, head, &framing, body_max,
-					 request);
-	return read_sized_body(reader, head, &framing, body_max, request);
+	reader->parsed = 0;
+	reader->head_size = head;
+	reader->chunked = framing.chunked;
+	reader->expects_continue = framing.expects_continue;
+	reader->body_size = framing.length;
+	reader->decoder.consume_trailer = 1;
+	return HT_READ_REQUEST;
+}
+
+enum ht_read ht_reader_next(struct ht_reader *reader, size_t head_max,
+			    size_t body_max, struct ht_request *request)
+{
+	bool had_head = reader->head_size != 0;
+	struct framing framing = { 0 };
+	enum ht_read read;
+
+	if (!reader->in.len)
+		return HT_READ_MORE;
+	if (!had_head) {
+		read = read_head(reader, head_max, request);
+		if (read != HT_READ_REQUEST)
+			return read;
+	}
+	read = reader->chunked ? read_chunked_body(reader, body_max)
+			       : read_sized_body(reader, body_max);
+	if (read != HT_READ_REQUEST)
+		return read;
+	/* The buffer may have moved since the head was parsed. */
+	if (had_head)
+		parse_head(reader, request, &framing);
+	consume_request(reader, request,
+			reader->chunked ? reader->decoded : reader->body_size);
+	return HT_READ_REQUEST;
 }
 
 void ht_reader_free(struct ht_reader *reader)
 {
 	gb_buf_free(&reader->in);
+	*reader = (struct ht_reader){ 0 };
 }
 
 struct gb_str ht_request_field(const struct ht_request *request,
@@ -235,6 +246,31 @@
 	return GB_STR("");
 }
 
+bool ht_request_is_connection_option(const struct ht_request *request,
+				     struct gb_str name)
+{
+	struct gb_str rest = ht_request_field(request, GB_STR("connection"));
+	struct gb_str item;
+	bool more = rest.len > 0;
+
+	while (more) {
+		more = gb_str_cut(&rest, ',', &item);
+		item = gb_str_trim(item);
+		if (item.len == name.len &&
+		    !g_ascii_strncasecmp(item.ptr, name.ptr, name.len))
+			return true;
+	}
+	return false;
+}
+
+void ht_request_add_line(const struct ht_request *request, struct gb_buf *out)
+{
+	gb_buf_add(out, request->method);
+	gb_buf_addc(out, ' ');
+	gb_buf_add(out, request->path);
+	gb_buf_add(out, GB_STR(" HTTP/1.1\r\n"));
+}
+
 struct gb_str ht_reason_phrase(int status)
 {
 	static const struct {
@@ -246,6 +282,7 @@
 		{ 404, GB_STR_INIT("Not Found") },
 		{ 408, GB_STR_INIT("Request Timeout") },
 		{ 413, GB_STR_INIT("Content Too Large") },
+		{ 421, GB_STR_INIT("Misdirected Request") },
 		{ 431, GB_STR_INIT("Request Header Fields Too Large") },
 		{ 500, GB_STR_INIT("Internal Server Error") },
 		{ 502, GB_STR_INIT("Bad Gateway") },
--- a/packages/http/ht-response.c
+++ b/packages/http/ht-response.c
@@ -79,6 +79,12 @@
 	return 0;
 }
 
+/* HTTP has no other statuses; nothing here asks for 101. */
+static bool is_usable_status(int status)
+{
+	return status >= 100 && status <= 599 && status != 101;
+}
+
 /* Parses the head at the start of the buffer, which may be an interim one. */
 static enum ht_part parse_one_head(struct ht_response *response,
 				   struct phr_header *headers, size_t *len,
@@ -94,7 +100,7 @@
 	if (*size == -2)
 		return in->len > HEAD_BYTES_MAX ? HT_PART_INVALID
 						: HT_PART_MORE;
-	if (*size < 0 || response->status == 101)
+	if (*size < 0 || !is_usable_status(response->status))
 		return HT_PART_INVALID;
 	return HT_PART_HEAD;
 }
@@ -120,6 +126,9 @@
 		if (parse_framing_field(response, f, &framed))
 			return HT_PART_INVALID;
 	}
+	if (response->status == 204 &&
+	    (response->chunked || response->body_remaining))
+		return HT_PART_INVALID;
 	if (has_no_body(response->status)) {
 		response->body_remaining = 0;
 		response->chunked = false;
--- a/packages/http/ht-server.c
+++ b/packages/http/ht-server.c
@@ -7,22 +7,14 @@
 #include <sys/socket.h>
 
 /* Bytes that are buffered while an exchange runs; beyond, reading stops. */
-#define PIPELINE_BYTES_MAX (64 * 1024)
+#define PIPELINE_BYTES_MAX (16 * 1024)
 
 #define LISTEN_BACKLOG 512
 
-/* A reply that did not fit into the socket's send buffer. */
-struct pending_write {
-	uv_write_t req;
-	struct ht_conn *conn;
-	struct gb_buf bytes;
-	struct ht_memory_holder holder;
-};
-
 static void read_requests(struct ht_conn *conn);
 
 /* All reads share one buffer, since each is consumed in its callback. */
-static char read_buffer[64 * 1024];
+static char read_buffer[32 * 1024];
 
 static void on_closed(uv_handle_t *handle)
 {
@@ -33,7 +25,7 @@
 	g_free(conn);
 }
 
-static void free_exchange(struct ht_exchange *x)
+void ht_exchange_free(struct ht_exchange *x)
 {
 	ht_request_clear(&x->request);
 	g_free(x);
@@ -47,12 +39,13 @@
 		return;
 	conn->closed = true;
 	conn->exchange = NULL;
+	ht_conn_unpause(conn);
 	g_queue_unlink(&conn->server->conns, &conn->link);
 	uv_close((uv_handle_t *)&conn->tcp, on_closed);
 	if (!x)
 		return;
 	conn->server->ops->disconnected(conn->server->ctx, x);
-	free_exchange(x);
+	ht_exchange_free(x);
 }
 
 static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
@@ -62,7 +55,7 @@
 	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
-static void stop_reading(struct ht_conn *conn)
+void ht_conn_stop_reading(struct ht_conn *conn)
 {
 	if (!conn->reading)
 		return;
@@ -70,6 +63,12 @@
 	uv_read_stop((uv_stream_t *)&conn->tcp);
 }
 
+void ht_conn_pause_reading(struct ht_conn *conn)
+{
+	ht_conn_stop_reading(conn);
+	ht_conn_pause(conn);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
 	struct ht_conn *conn = stream->data;
@@ -85,13 +84,16 @@
 	if (!conn->reader.in.len && !conn->exchange)
 		conn->wait_begin = ht_now();
 	gb_buf_add(&conn->reader.in, (struct gb_str){ buf->base, len });
+	ht_conn_charge(conn, len, 0);
 	if (!conn->exchange)
 		read_requests(conn);
 	else if (conn->reader.in.len > PIPELINE_BYTES_MAX)
-		stop_reading(conn);
+		ht_conn_stop_reading(conn);
+	if (!conn->closed && !conn->lingering && !ht_conn_has_turn(conn))
+		ht_conn_pause_reading(conn);
 }
 
-static void start_reading(struct ht_conn *conn)
+void ht_conn_start_reading(struct ht_conn *conn)
 {
 	if (conn->reading || conn->closed)
 		return;
@@ -99,124 +101,16 @@
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
-static void on_shut_down(uv_shutdown_t *req, int status)
-{
-	struct ht_conn *conn = req->data;
-
-	conn->wait_begin = ht_now();
-	if (status && !conn->closed)
-		ht_conn_close(conn);
-}
-
-/* Sends what is still to be written, and discards what the client sends. */
-static void linger(struct ht_conn *conn)
+void ht_conn_continue(struct ht_conn *conn)
 {
-	if (conn->closed)
-		return;
-	conn->lingering = true;
-	conn->wait_begin = ht_now();
-	ht_reader_free(&conn->reader);
-	ht_memory_hold(&conn->holder, 0);
-	conn->shutdown.data = conn;
-	if (uv_shutdown(&conn->shutdown, (uv_stream_t *)&conn->tcp,
-			on_shut_down)) {
-		ht_conn_close(conn);
-		return;
-	}
-	start_reading(conn);
-}
-
-static void on_written(uv_write_t *req, int status)
-{
-	struct pending_write *write = (struct pending_write *)req;
-	struct ht_conn *conn = write->conn;
-
-	ht_memory_hold(&write->holder, 0);
-	gb_buf_free(&write->bytes);
-	g_free(write);
-	conn->pending_writes--;
-	if (status && !conn->closed)
-		ht_conn_close(conn);
-}
-
-/* Writes as much as possible at once; takes ownership of the buffer. */
-static void send_bytes(struct ht_conn *conn, struct gb_buf *bytes)
-{
-	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
-	uv_buf_t buf = uv_buf_init(bytes->ptr, bytes->len);
-	int len = uv_try_write(stream, &buf, 1);
-	struct pending_write *write;
-
-	if (len == UV_EAGAIN)
-		len = 0;
-	if (len < 0 || (size_t)len == bytes->len) {
-		gb_buf_free(bytes);
-		if (len < 0)
-			ht_conn_close(conn);
+	if (conn->reader.in.len && !conn->exchange && !conn->dispatching)
+		read_requests(conn);
+	if (conn->closed || conn->lingering || conn->paused ||
+	    conn->pending_writes)
 		return;
-	}
-	write = g_new0(struct pending_write, 1);
-	write->conn = conn;
-	write->bytes = *bytes;
-	write->holder.memory = conn->server->memory;
-	ht_memory_hold(&write->holder, bytes->cap);
-	buf = uv_buf_init(bytes->ptr + len, bytes->len - len);
-	conn->pending_writes++;
-	if (uv_write(&write->req, stream, &buf, 1, on_written)) {
-		ht_memory_hold(&write->holder, 0);
-		gb_buf_free(&write->bytes);
-		g_free(write);
-		conn->pending_writes--;
-		ht_conn_close(conn);
-	}
-}
-
-static void encode_reply(const struct ht_reply *reply, bool close,
-			 struct gb_buf *out)
-{
-	struct gb_str reason = ht_reason_phrase(reply->status);
-
-	gb_buf_addf(out, "HTTP/1.1 %d %.*s\r\nContent-Length: %zu\r\n",
-		    reply->status, (int)reason.len, reason.ptr,
-		    reply->body.len);
-	gb_buf_add(out, reply->fields);
-	if (close)
-		gb_buf_add(out, GB_STR("Connection: close\r\n"));
-	gb_buf_add(out, GB_STR("\r\n"));
-	gb_buf_add(out, reply->body);
-}
-
-void ht_reply(struct ht_exchange *x, const struct ht_reply *reply)
-{
-	struct ht_conn *conn = x->conn;
-	bool close = !x->request.keep_alive || conn->server->closing;
-	struct gb_buf bytes = GB_BUF_INIT;
-
-	conn->exchange = NULL;
-	conn->has_answered = true;
-	conn->wait_begin = ht_now();
-	encode_reply(reply, close, &bytes);
-	free_exchange(x);
-	send_bytes(conn, &bytes);
-	if (close)
-		linger(conn);
-	if (conn->closed || close)
+	if (conn->exchange && conn->reader.in.len > PIPELINE_BYTES_MAX)
 		return;
-	start_reading(conn);
-	if (conn->reader.in.len && !conn->dispatching)
-		read_requests(conn);
-}
-
-void ht_conn_reject(struct ht_conn *conn, int status)
-{
-	const struct ht_reply reply = { .status = status };
-	struct gb_buf bytes = GB_BUF_INIT;
-
-	conn->server->ops->bad_request(conn->server->ctx, status);
-	stop_reading(conn);
-	encode_reply(&reply, true, &bytes);
-	send_bytes(conn, &bytes);
-	linger(conn);
+	ht_conn_start_reading(conn);
 }
 
 /* Refuses the longest request that is still being read. */
@@ -238,14 +132,6 @@
 	return read == HT_READ_BODY_TOO_LARGE ? 413 : 400;
 }
 
-static void send_continue(struct ht_conn *conn)
-{
-	struct gb_buf bytes = GB_BUF_INIT;
-
-	gb_buf_add(&bytes, GB_STR("HTTP/1.1 100 Continue\r\n\r\n"));
-	send_bytes(conn, &bytes);
-}
-
 /* Starts the exchange of the next request if it is complete. */
 static enum ht_read try_read_request(struct ht_conn *conn)
 {
@@ -264,34 +150,52 @@
 	x->conn = conn;
 	x->data = NULL;
 	x->received_at = ht_now();
+	x->unread_max = ht_conn_unread_max(conn);
 	x->network_delay = conn->has_answered ? conn->handshake_rtt
 					      : 2 * conn->handshake_rtt;
 	conn->exchange = x;
+	ht_conn_charge(conn, 0, 1);
 	server->ops->request(server->ctx, x);
 	return read;
 }
 
-/* Parses requests until one waits for its reply or more bytes are needed. */
+/* Tells whether the next request may be started. */
+static bool may_read_request(struct ht_conn *conn)
+{
+	return !conn->closed && !conn->lingering && !conn->exchange &&
+	       !conn->pending_writes && conn->reader.in.len;
+}
+
+/*
+ * Parses requests until one waits for its reply, more bytes are needed, or the
+ * connection has had its turn.
+ */
 static void read_requests(struct ht_conn *conn)
 {
 	enum ht_read read = HT_READ_REQUEST;
 
 	conn->dispatching = true;
-	while (!conn->closed && !conn->exchange && conn->reader.in.len &&
+	while (may_read_request(conn) && ht_conn_has_turn(conn) &&
 	       read == HT_READ_REQUEST)
 		read = try_read_request(conn);
 	conn->dispatching = false;
-	/* The exchange's user counts the bytes of a complete request. */
-	if (read == HT_READ_REQUEST || conn->closed)
-		ht_memory_hold(&conn->holder, 0);
-	if (conn->closed || read == HT_READ_REQUEST)
+	if (conn->closed || conn->lingering)
 		return;
 	if (read == HT_READ_CONTINUE)
-		send_continue(conn);
-	else if (read != HT_READ_MORE)
+		ht_conn_send_continue(conn);
+	else if (read != HT_READ_MORE && read != HT_READ_REQUEST)
 		ht_conn_reject(conn, rejection_status(read));
-	if (!conn->closed)
-		ht_memory_hold(&conn->holder, conn->reader.in.cap);
+	if (conn->closed || conn->lingering)
+		return;
+	/* The exchange's user counts the bytes of a complete request. */
+	ht_memory_hold(&conn->holder, conn->exchange ? 0 : conn->reader.in.cap);
+	if (may_read_request(conn) && !ht_conn_has_turn(conn)) {
+		ht_conn_pause_reading(conn);
+	} else if (conn->pending_writes) {
+		ht_conn_stop_reading(conn);
+	} else if (read == HT_READ_REQUEST && !conn->exchange) {
+		ht_conn_start_reading(conn);
+	}
 }
 
 /* Returns 0 if the kernel does not provide TCP_INFO. */
@@ -329,7 +233,8 @@
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
 	conn->handshake_rtt = read_handshake_rtt(conn);
-	start_reading(conn);
+	ht_conn_accepted(conn);
+	ht_conn_start_reading(conn);
 }
 
 int ht_server_start(struct ht_server *server, uv_loop_t *loop,
@@ -343,6 +248,8 @@
 	server->ops = ops;
 	server->ctx = ctx;
 	g_queue_init(&server->conns);
+	ht_server_turns_init(server);
+	ht_server_arrivals_init(server);
 	if (ht_parse_address(address, &addr))
 		return UV_EINVAL;
 	uv_tcp_init(loop, &server->listener);
@@ -380,4 +287,7 @@
 {
 	ht_server_close_conns(server);
 	ht_server_stop_listening(server);
+	ht_server_arrivals_close(server);
+	if (!uv_is_closing((uv_handle_t *)&server->idle))
+		uv_close((uv_handle_t *)&server->idle, NULL);
 }
--- a/packages/http/ht-server.h
+++ b/packages/http/ht-server.h
@@ -16,6 +16,7 @@
  *	after either it must not be used any more.
  */
 
+#include "http/ht-arrival.h"
 #include "http/ht-memory.h"
 #include "http/ht-request.h"
 
@@ -31,6 +32,8 @@
 	gb_time received_at; /* when the request was complete */
 	/* Round-trip time of the client, twice if it had to connect first. */
 	gb_time network_delay;
+	gb_time unread_max; /* it may have waited for so long until it was read
+			     */
 	void *data; /* for the user of the server */
 };
 
@@ -64,6 +67,11 @@
 	void *ctx;
 	struct ht_limits limits;
 	GQueue conns; /* of struct ht_conn */
+	GQueue paused; /* of struct ht_conn, which wait for their turn */
+	uv_idle_t idle; /* runs while connections wait for their turn */
+	struct ht_arrivals arrivals;
+	uv_prepare_t before_poll;
+	uv_check_t after_poll;
 	/* Bounds incomplete requests and unsent replies; or NULL. */
 	struct ht_memory *memory;
 	bool closing; /* replies carry Connection: close */
--- a/packages/http/tests/server-test.c
+++ b/packages/http/tests/server-test.c
@@ -22,6 +22,7 @@
 	uint32_t port;
 	int client;
 	uint32_t requests; /* that the server has accepted */
+	gb_time unread_max; /* of the last one */
 };
 
 static void on_request(void *data, struct ht_exchange *exchange)
@@ -30,6 +31,7 @@
 	struct ctx *ctx = data;
 
 	ctx->requests++;
+	ctx->unread_max = exchange->unread_max;
 	ht_reply(exchange, &(struct ht_reply){
 				   .status = 200,
 				   .body = { body, ANSWER_BYTES },
@@ -136,6 +138,24 @@
 	print_connections(ctx, out);
 }
 
+/* stall ms=: a request arrives, and the loop runs only so much later */
+static void cmd_stall(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+	int64_t ms = scr_int(args, GB_STR("ms"), 0);
+	struct ctx *ctx = data;
+
+	run_loop(ctx);
+	connect_client(ctx);
+	g_assert(send(ctx->client, request, strlen(request), 0) > 0);
+	g_usleep(ms * GB_MSEC);
+	run_loop(ctx);
+	gb_buf_addf(out, "requests=%u waited for the whole time: %s\n",
+		    ctx->requests,
+		    ctx->unread_max >= ms * GB_MSEC ? "yes" : "no");
+}
+
 /* last: the server answers its last request, and a second one arrives then */
 static void cmd_last(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
@@ -344,6 +364,7 @@
 {
 	static const struct scr_command commands[] = {
 		{ GB_STR_INIT("ask"), cmd_ask },
+		{ GB_STR_INIT("stall"), cmd_stall },
 		{ GB_STR_INIT("last"), cmd_last },
 		{ GB_STR_INIT("upload"), cmd_upload },
 		{ GB_STR_INIT("more"), cmd_more },
