directory: eras of the store, and proofs that nothing newer was written

Cause: a store that is restored from an older copy gives revisions again, and a VM that is cut off could not tell how old its keys may be.

--- a/packages/directory/dir.c
+++ b/packages/directory/dir.c
@@ -2,6 +2,12 @@
 
 #include <glib.h>
 
+/*
+ * An answer with so many changes may be only a part of them: a store sends some
+ * hundred at a time.
+ */
+#define CHANGES_OF_PART_MIN 200
+
 #define BACKOFF_DOUBLINGS_MAX 4
 
 /* An unsynced VM serves no requests, so it retries the store more often. */
@@ -55,6 +61,34 @@
 	return !more || (last.len && !gb_str_eq(last, follower->cursor));
 }
 
+/* Notes that changes since the last answer may be missing. */
+static void fall_behind(struct dir_follower *follower)
+{
+	if (!follower->behind_since)
+		follower->behind_since = follower->answered_at;
+}
+
+gb_time dir_unseen_time(const struct dir_follower *follower, gb_time now)
+{
+	return follower->behind_since ? now - follower->behind_since : 0;
+}
+
+gb_time dir_age(const struct dir_follower *follower, gb_time now)
+{
+	return now - (follower->behind_since ? follower->behind_since
+					     : follower->answered_at);
+}
+
+void dir_set_source_age(struct dir_follower *follower, gb_time age)
+{
+	follower->source_age = age;
+}
+
+bool dir_allows_stale(const struct dir_follower *follower)
+{
+	return follower->from_peer && !follower->synced;
+}
+
 static void record_success(struct dir_follower *follower, gb_time due)
 {
 	follower->failures = 0;
@@ -69,7 +103,7 @@
 {
 	record_success(follower, due);
 	follower->confirmed = !follower->from_peer;
-	follower->answered_at = now;
+	follower->answered_at = MAX(now - follower->source_age, GB_USEC);
 }
 
 /*
@@ -87,6 +121,9 @@
 		return;
 	}
 	set_cursor(follower, GB_STR(""));
+	follower->behind_since =
+		dir_allows_stale(follower) ? follower->answered_at : 0;
+	follower->restored = false;
 	follower->step = DIR_WATCH;
 	follower->synced = true;
 }
@@ -94,12 +131,20 @@
 void dir_watch_done(struct dir_follower *follower, gb_time now,
 		    int64_t revision, size_t changes)
 {
-	record_answer(follower, now, changes ? now + DIR_WATCH_PAUSE : now);
+	bool is_complete = changes < CHANGES_OF_PART_MIN;
+	bool pauses = changes && is_complete;
+
+	if (!is_complete)
+		fall_behind(follower);
+	record_answer(follower, now, pauses ? now + DIR_WATCH_PAUSE : now);
 	follower->revision = MAX(follower->revision, revision);
+	if (is_complete)
+		follower->behind_since = 0;
 }
 
 void dir_history_lost(struct dir_follower *follower, gb_time now)
 {
+	fall_behind(follower);
 	record_success(follower, now);
 	set_cursor(follower, GB_STR(""));
 	follower->step = DIR_LIST;
@@ -128,6 +173,7 @@
 	gb_time backoff = DIR_BACKOFF_MIN
 			  << MIN(follower->failures, BACKOFF_DOUBLINGS_MAX);
 
+	fall_behind(follower);
 	if (!follower->failing_since)
 		follower->failing_since = now;
 	follower->failures++;
@@ -141,12 +187,14 @@
 			   (!from_peer && !follower->confirmed);
 
 	follower->from_peer = from_peer;
+	follower->source_age = 0;
 	follower->started_at = now;
 	follower->watch_wait = must_answer ? 0 : wait;
 }
 
 void dir_doubt_source(struct dir_follower *follower)
 {
+	fall_behind(follower);
 	follower->source_in_doubt = true;
 }
 
@@ -189,10 +237,12 @@
 bool dir_is_confirmed(const struct dir_follower *follower, gb_time now)
 {
 	if (!follower->synced || follower->from_peer || follower->failures ||
-	    !follower->confirmed)
+	    !follower->confirmed || follower->restored)
 		return false;
 	if (now < follower->renewing_until)
 		return true;
+	if (follower->behind_since)
+		return false;
 	return now - follower->answered_at <=
 	       DIR_WATCH_PAUSE + follower->watch_wait +
 		       follower->timing->watch_margin;
--- a/packages/directory/dir.h
+++ b/packages/directory/dir.h
@@ -15,10 +15,16 @@
  *	The source of each step is the store or another VM that follows it. Only
  *	the store's own answers confirm that the objects are up to date.
  *
+ *	A store that is restored from an older copy gives out revisions again.
+ *	It counts these times as eras. Within an era the revision orders what is
+ *	read; an answer of an earlier era is not used, and in a later one all
+ *	objects are listed anew (see docs/design/store-eras.md).
+ *
  *	The follower does no I/O. The caller carries out the current step once
  *	it is due, starting with dir_begin_step(), and reports how it ended.
  */
 
+#include "directory/dir-proof.h"
 #include "directory/dir-timing.h"
 
 /*
@@ -35,7 +41,9 @@
 
 struct dir_follower {
 	enum dir_step step;
+	int64_t era; /* 0: none is known */
 	int64_t revision;
+	bool restored; /* the first list of an era is not complete yet */
 	/* owned; name of the last object of the previous page */
 	struct gb_str cursor;
 	const struct dir_timing *timing; /* outlives the follower */
@@ -49,7 +57,12 @@
 	bool from_peer; /* the source of the current step is another VM */
 	bool source_in_doubt; /* it may have stopped responding */
 	bool confirmed; /* the store itself gave the last answer */
-	gb_time answered_at; /* by any source; 0: never */
+	/* age of what the source of the current step knows; 0 for the store */
+	gb_time source_age;
+	/* when what the last answer shows was up to date; 0: no answer yet */
+	gb_time answered_at;
+	/* changes since then may be missing; 0: the objects are complete */
+	gb_time behind_since;
 	/* the objects stay confirmed while a watch that was cut is renewed */
 	gb_time renewing_until;
 	uint32_t timeout_phase; /* which attempts have a long timeout */
@@ -72,6 +85,15 @@
 /* Puts the source in doubt until it answers. */
 void dir_doubt_source(struct dir_follower *follower);
 
+/*
+ * Notes, before the end of a step is recorded, how old the objects of the VM
+ * that answered are. Its own answers may come from a source that is silent.
+ */
+void dir_set_source_age(struct dir_follower *follower, gb_time age);
+
+/* Tells whether the current step takes objects that may not be up to date. */
+bool dir_allows_stale(const struct dir_follower *follower);
+
 /*
  * Records that the connection of the running call was closed. Returns false if
  * that is a failure. A watch that was waiting at the store is renewed once over
@@ -92,6 +114,29 @@
 		   bool more, struct gb_str last);
 void dir_watch_done(struct dir_follower *follower, gb_time now,
 		    int64_t revision, size_t changes);
+
+enum dir_era_verdict {
+	DIR_ERA_CURRENT, /* the answer can be used */
+	DIR_ERA_CHANGED, /* it cannot; all objects are listed anew */
+	DIR_ERA_PAST /* it cannot: the objects are newer */
+};
+
+/*
+ * Takes the era of an answer, before the answer itself is used; 0 if it has
+ * none.
+ */
+enum dir_era_verdict dir_take_era(struct dir_follower *follower, gb_time now,
+				  int64_t era);
+
+/*
+ * Time for which changes may have gone unseen, as long as the next answer is
+ * not taken over; 0 while the objects are complete.
+ */
+gb_time dir_unseen_time(const struct dir_follower *follower, gb_time now);
+
+/* Time since the objects were last known to be up to date. */
+gb_time dir_age(const struct dir_follower *follower, gb_time now);
+
 void dir_history_lost(struct dir_follower *follower, gb_time now);
 
 void dir_step_failed(struct dir_follower *follower, gb_time now);
--- a/packages/directory/tests/directory-test.c
+++ b/packages/directory/tests/directory-test.c
@@ -6,6 +6,7 @@
 	struct dir_follower follower;
 	struct dir_audit audit;
 	struct dir_timing timing;
+	struct dir_proof proof;
 	bool next_from_peer; /* the source of the next step is another VM */
 };
 
@@ -51,11 +52,18 @@
 		    (long long)(dir_step_timeout(f) / GB_MSEC), f->synced);
 }
 
+static void set_source_age(struct ctx *ctx, const struct scr_args *args)
+{
+	dir_set_source_age(&ctx->follower,
+			   scr_int(args, GB_STR("age_ms"), 0) * GB_MSEC);
+}
+
 static void cmd_listed(void *data, const struct scr_args *args,
 		       struct gb_buf *out)
 {
 	struct ctx *ctx = data;
 
+	set_source_age(ctx, args);
 	dir_list_done(&ctx->follower, at(args), scr_int(args, GB_STR("rev"), 0),
 		      scr_int(args, GB_STR("more"), 0),
 		      scr_str(args, GB_STR("last"), GB_STR("")));
@@ -67,6 +75,7 @@
 {
 	struct ctx *ctx = data;
 
+	set_source_age(ctx, args);
 	dir_watch_done(&ctx->follower, at(args),
 		       scr_int(args, GB_STR("rev"), 0),
 		       scr_int(args, GB_STR("changes"), 0));
@@ -91,6 +100,18 @@
 	print(ctx, out);
 }
 
+/* era at_ms= n=: of the answer whose end comes next */
+static void cmd_era(void *data, const struct scr_args *args, struct gb_buf *out)
+{
+	static const char *const names[] = { "current", "changed", "past" };
+	struct ctx *ctx = data;
+
+	gb_buf_addf(out, "%s, ",
+		    names[dir_take_era(&ctx->follower, at(args),
+				       scr_int(args, GB_STR("n"), 0))]);
+	print(ctx, out);
+}
+
 /* source peer|store: of the next steps, beginning with this one */
 static void cmd_source(void *data, const struct scr_args *args,
 		       struct gb_buf *out)
@@ -168,6 +189,43 @@
 	print_audit(&ctx->audit, out);
 }
 
+/* unseen at_ms=: time for which changes may have gone unseen, and the age */
+static void cmd_unseen(void *data, const struct scr_args *args,
+		       struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	gb_buf_addf(out, "%lld ms, age %lld ms\n",
+		    (long long)(dir_unseen_time(&ctx->follower, at(args)) /
+				GB_MSEC),
+		    (long long)(dir_age(&ctx->follower, at(args)) / GB_MSEC));
+}
+
+/* proof sent_ms= at_ms= wait_ms= changes= peer_age_ms=: an answer, then the age
+ */
+static void cmd_proof(void *data, const struct scr_args *args,
+		      struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	gb_time peer_age = scr_int(args, GB_STR("peer_age_ms"), -2);
+	const struct dir_proof_answer answer = {
+		.sent_at = scr_int(args, GB_STR("sent_ms"), 0) * GB_MSEC,
+		.received_at = at(args),
+		.wait = scr_int(args, GB_STR("wait_ms"), 0) * GB_MSEC,
+		.has_changes = scr_int(args, GB_STR("changes"), 0),
+		.from_peer = peer_age != -2,
+		.peer_age = peer_age < 0 ? -1 : peer_age * GB_MSEC,
+	};
+	gb_time age;
+
+	dir_proof_take(&ctx->proof, &answer);
+	age = dir_proof_age(&ctx->proof, at(args));
+	if (age == GB_NEVER)
+		gb_buf_add(out, GB_STR("  no proof\n"));
+	else
+		gb_buf_addf(out, "  %lld ms old\n", (long long)(age / GB_MSEC));
+}
+
 int main(int argc, char **argv)
 {
 	static const struct scr_command commands[] = {
@@ -176,11 +234,14 @@
 		{ GB_STR_INIT("history-lost"), cmd_lost },
 		{ GB_STR_INIT("failed"), cmd_failed },
 		{ GB_STR_INIT("source"), cmd_source },
+		{ GB_STR_INIT("era"), cmd_era },
 		{ GB_STR_INIT("confirmed"), cmd_confirmed },
 		{ GB_STR_INIT("doubt"), cmd_doubt },
 		{ GB_STR_INIT("cut"), cmd_cut },
 		{ GB_STR_INIT("audit-listed"), cmd_audit_listed },
 		{ GB_STR_INIT("audit-watched"), cmd_audit_watched },
+		{ GB_STR_INIT("proof"), cmd_proof },
+		{ GB_STR_INIT("unseen"), cmd_unseen },
 	};
 	static const struct scr_suite suite = {
 		.name = "directory",
