--- a/packages/member/mem-internal.h
+++ b/packages/member/mem-internal.h
@@ -15,11 +15,16 @@
 
 #include "member/mem.h"
 
+/* ASCII "reader": a key that no upstream uses for its ranks. */
+#define MEM_READERS_KEY 0x726561646572ull
+
 struct mem_member {
 	struct mem_row row;
 	gb_time state_since; /* when row.state last changed */
 	/* time of the first ping without an ack; 0 if none */
 	gb_time unacked_since;
+	gb_time pinged_at; /* the last time, by ping_next() */
+	gb_time heard_at; /* the last message from it */
 	/* messages that will still carry this row as gossip */
 	uint32_t sends_left;
 };
@@ -66,6 +71,10 @@
 uint32_t mem_differing_buckets(const struct mem_digest *a,
 			       const struct mem_digest *b);
 
+/* Finds the member with that rank for a key, without this VM. */
+bool mem_find_ranked(const struct mem_table *table, enum mem_scope scope,
+		     uint64_t key, uint32_t rank, struct gb_str *address);
+
 /* Merges the rows of a received message into the table. */
 void mem_merge(struct mem_table *table, gb_time now,
 	       const struct mem_message *message);
--- a/packages/member/mem-probe.c
+++ b/packages/member/mem-probe.c
@@ -23,6 +23,9 @@
  */
 #define PAUSE_INTERVALS 3
 
+/* Pings that are older say nothing about which members are in reach now. */
+#define REACH_WINDOW (4 * GB_SEC)
+
 static bool is_ack_overdue(const struct mem_table *table,
 			   const struct mem_member *member, gb_time now)
 {
@@ -79,6 +82,7 @@
 			continue;
 		if (!member->unacked_since)
 			member->unacked_since = now;
+		member->pinged_at = now;
 		ping(table, mem_address(&member->row));
 		return;
 	}
@@ -135,6 +139,23 @@
 	}
 }
 
+double mem_reach(const struct mem_table *table, gb_time now)
+{
+	uint32_t pinged = 0, heard = 0;
+
+	for (guint i = 0; i < table->members->len; i++) {
+		const struct mem_member *member = table->members->pdata[i];
+		gb_time age = now - member->pinged_at;
+
+		if (!member->pinged_at || age > REACH_WINDOW ||
+		    age < table->settings.ack_timeout)
+			continue;
+		pinged++;
+		heard += member->heard_at >= member->pinged_at;
+	}
+	return pinged ? (double)heard / pinged : 1;
+}
+
 void mem_tick(struct mem_table *table, gb_time now)
 {
 	update_states(table, now);
@@ -199,8 +220,10 @@
 	table->reported_live_max =
 		MAX(table->reported_live_max, message->live_count);
 	sender = mem_find(table, mem_address(&message->rows[0]));
-	if (sender)
+	if (sender) {
 		sender->unacked_since = 0;
+		sender->heard_at = now;
+	}
 	if (message->kind == MEM_PING)
 		send_acks(table, message);
 }
--- a/packages/member/mem-reader.c
+++ b/packages/member/mem-reader.c
@@ -16,8 +16,9 @@
 #define READERS_PER_DC 1
 #define READERS_PER_DC_LARGE_TIER 2
 
-/* ASCII "reader": a key that no upstream uses for its ranks. */
-#define READERS_KEY 0x726561646572ull
+/* Ranks up to which VMs take the place of readers that fail. */
+#define STANDBYS_PER_TIER 6
+#define STANDBYS_PER_DC 3
 
 static uint32_t readers_per_dc(const struct mem_table *table)
 {
@@ -33,17 +34,36 @@
 
 static bool is_dc_reader(const struct mem_table *table)
 {
-	return mem_rank(table, MEM_SAME_DC, READERS_KEY) <
+	return mem_rank(table, MEM_SAME_DC, MEM_READERS_KEY) <
 	       readers_per_dc(table);
 }
 
 bool mem_is_reader(const struct mem_table *table)
 {
 	return mem_all_are_readers(table) ||
-	       mem_rank(table, MEM_ALL, READERS_KEY) < READERS_PER_TIER ||
+	       mem_rank(table, MEM_ALL, MEM_READERS_KEY) < READERS_PER_TIER ||
 	       is_dc_reader(table);
 }
 
+enum mem_candidate mem_reader_candidate(const struct mem_table *table,
+					enum mem_scope scope, uint32_t index,
+					struct gb_str *address)
+{
+	uint32_t standbys =
+		scope == MEM_ALL ? STANDBYS_PER_TIER : STANDBYS_PER_DC;
+
+	if (index >= standbys)
+		return MEM_NO_MORE;
+	if (mem_rank(table, scope, MEM_READERS_KEY) == index)
+		return MEM_SELF;
+	/* The members before this VM have the same ranks without it. */
+	if (mem_rank(table, scope, MEM_READERS_KEY) < index)
+		return MEM_NO_MORE;
+	return mem_find_ranked(table, scope, MEM_READERS_KEY, index, address)
+		       ? MEM_OTHER
+		       : MEM_NO_MORE;
+}
+
 bool mem_pick_reader(const struct mem_table *table, enum mem_scope scope,
 		     struct gb_str *address)
 {
@@ -54,5 +74,5 @@
 		ranks = 0;
 	else if (scope == MEM_SAME_DC && is_dc_reader(table))
 		return false;
-	return mem_pick(table, scope, READERS_KEY, ranks, address);
+	return mem_pick(table, scope, MEM_READERS_KEY, ranks, address);
 }
--- a/packages/member/mem-row.c
+++ b/packages/member/mem-row.c
@@ -64,6 +64,7 @@
 	member->row.incarnation = row->incarnation;
 	member->row.refutations = row->refutations;
 	member->row.dc_hash = row->dc_hash;
+	member->row.halvings = row->halvings;
 	mem_set_state(table, member, row->state, now);
 }
 
--- a/packages/member/mem-table.c
+++ b/packages/member/mem-table.c
@@ -32,6 +32,18 @@
 	return gb_str_eq(mem_address(a), mem_address(b));
 }
 
+static uint32_t count_halvings(double processor_share)
+{
+	uint32_t halvings = 0;
+
+	while (processor_share > 0 && processor_share < 1 &&
+	       halvings < MEM_HALVINGS_MAX) {
+		processor_share *= 2;
+		halvings++;
+	}
+	return halvings;
+}
+
 struct mem_table *mem_new(const struct mem_settings *settings,
 			  const struct mem_ops *ops, void *ctx, gb_time now,
 			  struct gb_rng *rng)
@@ -46,6 +58,7 @@
 	table->last_tick = now;
 	table->self.incarnation = settings->incarnation;
 	table->self.dc_hash = (uint32_t)gb_hash(settings->dc, 0);
+	table->self.halvings = count_halvings(settings->processor_share);
 	set_address(&table->self, settings->address);
 	table->members = g_ptr_array_new_with_free_func(g_free);
 	table->by_address = g_hash_table_new(address_hash, address_equal);
@@ -186,29 +199,35 @@
 }
 
 uint32_t mem_estimate_vms(const struct mem_table *table, gb_time now)
+{
+	return mem_count_lately_live(table, now,
+				     table->settings.dead_counted_time);
+}
+
+uint32_t mem_live_count(const struct mem_table *table)
 {
 	uint32_t count = 1;
 
 	for (guint i = 0; i < table->members->len; i++) {
 		const struct mem_member *member = table->members->pdata[i];
 
-		count += member->row.state != MEM_DEAD ||
-			 now - member->state_since <
-				 table->settings.dead_counted_time;
+		count += member->row.state != MEM_DEAD;
 	}
-	return MAX(count, min_estimate(table, now));
+	return count;
 }
 
-uint32_t mem_live_count(const struct mem_table *table)
+uint32_t mem_count_lately_live(const struct mem_table *table, gb_time now,
+			       gb_time time)
 {
 	uint32_t count = 1;
 
 	for (guint i = 0; i < table->members->len; i++) {
 		const struct mem_member *member = table->members->pdata[i];
 
-		count += member->row.state != MEM_DEAD;
+		count += member->row.state != MEM_DEAD ||
+			 now - member->state_since < time;
 	}
-	return count;
+	return MAX(count, min_estimate(table, now));
 }
 
 bool mem_knows_members(const struct mem_table *table, gb_time now)
--- a/packages/member/mem.h
+++ b/packages/member/mem.h
@@ -49,8 +49,13 @@
 	uint32_t refutations;
 	uint32_t dc_hash; /* hash of the name of its data centre */
 	enum mem_state state;
+	/* how often its processor share is half of a core; 0: not known */
+	uint32_t halvings;
 };
 
+/* More halvings count as so many. */
+#define MEM_HALVINGS_MAX 63
+
 /*
  * A digest of the live members: for each hash bucket of members, the XOR of
  * their 16-bit hashes. Two VMs whose digests differ exchange rows of the
@@ -83,6 +88,7 @@
 struct mem_settings {
 	struct gb_str address; /* of this VM, for datagrams */
 	struct gb_str dc;
+	double processor_share; /* cores that this VM may use; 0: not known */
 	uint64_t incarnation;
 	gb_time probe_interval; /* time between two calls of mem_tick() */
 	/* a ping without an ack for this long makes its member suspect */
@@ -126,6 +132,20 @@
  */
 uint32_t mem_estimate_vms(const struct mem_table *table, gb_time now);
 
+/* The same, with the members that have been dead for less than that time. */
+uint32_t mem_count_lately_live(const struct mem_table *table, gb_time now,
+			       gb_time time);
+
+/*
+ * Part of the members pinged in the last seconds from which this VM has heard
+ * since: less than 1 if it is cut off from some.
+ */
+double mem_reach(const struct mem_table *table, gb_time now);
+
+/* Visits the addresses of the members that are live or suspect. */
+void mem_each_live(const struct mem_table *table,
+		   void (*visit)(void *ctx, struct gb_str address), void *ctx);
+
 /* Members that are live or suspect, this VM included. */
 uint32_t mem_live_count(const struct mem_table *table);
 bool mem_settled(const struct mem_table *table, gb_time now);
@@ -166,6 +186,21 @@
 bool mem_pick_reader(const struct mem_table *table, enum mem_scope scope,
 		     struct gb_str *address);
 
+/*
+ * Readers may not reach the store while others do. In each data centre, and in
+ * the whole tier, the VMs that follow them in rank take their place then.
+ */
+enum mem_candidate {
+	MEM_OTHER, /* *address is that of the VM */
+	MEM_SELF, /* it is this VM's turn to read the store itself */
+	MEM_NO_MORE
+};
+
+/* Finds the VM that is to be followed if so many before it have failed. */
+enum mem_candidate mem_reader_candidate(const struct mem_table *table,
+					enum mem_scope scope, uint32_t index,
+					struct gb_str *address);
+
 /*
  * Returns whether this VM is one of the seeds, which all VMs are configured
  * with.
--- a/packages/member/tests/member-test.c
+++ b/packages/member/tests/member-test.c
@@ -23,6 +23,7 @@
 	bool drops_inbound; /* datagrams to it are dropped */
 	bool paused;
 	char dc[8];
+	double processor_share; /* 0: not known */
 };
 
 static void *open_ctx(void)
@@ -77,6 +78,7 @@
 	const struct mem_settings settings = {
 		.address = vm->address,
 		.dc = gb_str_from_c(vm->dc),
+		.processor_share = vm->processor_share,
 		.incarnation = clock_ms,
 		.probe_interval = 500 * GB_MSEC,
 		.ack_timeout = 1 * GB_SEC,
@@ -90,19 +92,27 @@
 		mem_add_seed(vm->table, ctx->vm[seed]->address);
 }
 
+/*
+ * vms n= dcs= large=: so many have half of a core, and the others a twelfth;
+ * without it, no share is known
+ */
 static void cmd_vms(void *data, const struct scr_args *args, struct gb_buf *out)
 {
 	struct ctx *ctx = data;
-	int64_t dcs;
+	int64_t dcs, large;
 
 	(void)out;
 	dcs = scr_int(args, GB_STR("dcs"), 1);
+	large = scr_int(args, GB_STR("large"), 0);
 	ctx->len = scr_int(args, GB_STR("n"), 4);
 	for (uint32_t i = 0; i < ctx->len; i++) {
 		struct gb_buf address = GB_BUF_INIT;
 
 		ctx->vm[i] = g_new0(struct vm, 1);
 		ctx->vm[i]->ctx = ctx;
+		if (large)
+			ctx->vm[i]->processor_share =
+				i + large >= ctx->len ? 0.5 : 0.084;
 		g_snprintf(ctx->vm[i]->dc, sizeof(ctx->vm[i]->dc), "dc-%u",
 			   (unsigned int)(i % dcs));
 		gb_buf_addf(&address, "10.0.%u.%u:7380", i / 250, i % 250 + 1);
@@ -226,7 +236,7 @@
 static void cmd_readers(void *data, const struct scr_args *args,
 			struct gb_buf *out)
 {
-	uint32_t readers = 0, without_reader = 0;
+	uint32_t readers = 0, small = 0, without_reader = 0;
 	struct ctx *ctx = data;
 
 	(void)args;
@@ -236,13 +246,51 @@
 
 		if (vm->disconnected || vm->paused)
 			continue;
-		if (mem_is_reader(vm->table))
+		if (mem_is_reader(vm->table)) {
 			readers++;
-		else if (!mem_pick_reader(vm->table, MEM_SAME_DC, &address))
+			small += vm->processor_share &&
+				 vm->processor_share < 0.5;
+		} else if (!mem_pick_reader(vm->table, MEM_SAME_DC, &address)) {
 			without_reader++;
+		}
 	}
 	gb_buf_addf(out, "%u readers, %u VMs without one in their dc\n",
 		    readers, without_reader);
+	if (small)
+		gb_buf_addf(out, "%u readers with little processor time\n",
+			    small);
+}
+
+/*
+ * candidates failed=N: if the first N members of each scope fail as readers,
+ * how many VMs read the store themselves, and how many follow another one
+ */
+static void cmd_candidates(void *data, const struct scr_args *args,
+			   struct gb_buf *out)
+{
+	uint32_t failed = scr_int(args, GB_STR("failed"), 0);
+	uint32_t own[2] = { 0 }, others[2] = { 0 }, none[2] = { 0 };
+	struct ctx *ctx = data;
+
+	for (uint32_t i = 0; i < ctx->len; i++)
+		for (int scope = MEM_ALL; scope <= MEM_SAME_DC; scope++) {
+			const struct mem_table *table = ctx->vm[i]->table;
+			struct gb_str address;
+			uint32_t at = 0;
+			enum mem_candidate found;
+
+			do
+				found = mem_reader_candidate(table, scope, at,
+							     &address);
+			while (at++ < failed && found == MEM_OTHER);
+			own[scope] += found == MEM_SELF;
+			others[scope] += found == MEM_OTHER;
+			none[scope] += found == MEM_NO_MORE;
+		}
+	for (int scope = MEM_ALL; scope <= MEM_SAME_DC; scope++)
+		gb_buf_addf(out, "%s: %u read it, %u follow, %u do neither\n",
+			    scope == MEM_ALL ? "tier" : "dc", own[scope],
+			    others[scope], none[scope]);
 }
 
 /* Prints how many VMs know less than half of the members. */
@@ -307,6 +355,7 @@
 		{ GB_STR_INIT("first"), cmd_first },
 		{ GB_STR_INIT("readers"), cmd_readers },
 		{ GB_STR_INIT("unaware"), cmd_unaware },
+		{ GB_STR_INIT("candidates"), cmd_candidates },
 		{ GB_STR_INIT("bytes"), cmd_bytes },
 	};
 	static const struct scr_suite suite = {
--- a/packages/msg/msg.c
+++ b/packages/msg/msg.c
@@ -30,6 +30,10 @@
 static void free_leaving_data(struct msg *msg);
 static void copy_suspects_data(struct msg *msg);
 static void free_suspects_data(struct msg *msg);
+static void copy_rollout_report_data(struct msg *msg);
+static void free_rollout_report_data(struct msg *msg);
+static void copy_helpers_data(struct msg *msg);
+static void free_helpers_data(struct msg *msg);
 static void copy_config_data(struct msg *msg);
 static void free_config_data(struct msg *msg);
 
@@ -74,6 +78,17 @@
 			   .copy_data = copy_suspects_data,
 			   .free_data = free_suspects_data },
 	[MSG_RUN_END] = { .name = GB_STR_INIT("run_end") },
+	[MSG_ROLLOUT_REPORT] = { .name = GB_STR_INIT("rollout_report"),
+				 .copy_data = copy_rollout_report_data,
+				 .free_data = free_rollout_report_data },
+	[MSG_ROLLOUT_STEP] = { .name = GB_STR_INIT("rollout_step") },
+	[MSG_QUOTA_REPORT] = { .name = GB_STR_INIT("quota_report") },
+	[MSG_QUOTA_LEVEL] = { .name = GB_STR_INIT("quota_level") },
+	[MSG_QUOTA_ASK] = { .name = GB_STR_INIT("quota_ask") },
+	[MSG_QUOTA_GRANT] = { .name = GB_STR_INIT("quota_grant") },
+	[MSG_HELPERS] = { .name = GB_STR_INIT("helpers"),
+			  .copy_data = copy_helpers_data,
+			  .free_data = free_helpers_data },
 };
 
 static void copy_batch_data(struct msg *msg)
@@ -216,6 +231,35 @@
 	g_free(msg->suspects.suspects);
 }
 
+static void copy_helpers_data(struct msg *msg)
+{
+	struct msg_helpers *m = &msg->helpers;
+
+	m->helpers =
+		g_memdup2(m->helpers, m->helpers_len * sizeof(m->helpers[0]));
+	for (uint32_t i = 0; i < m->helpers_len; i++)
+		m->helpers[i].address = gb_str_dup(m->helpers[i].address);
+}
+
+static void free_helpers_data(struct msg *msg)
+{
+	for (uint32_t i = 0; i < msg->helpers.helpers_len; i++)
+		gb_str_free(&msg->helpers.helpers[i].address);
+	g_free(msg->helpers.helpers);
+}
+
+static void copy_rollout_report_data(struct msg *msg)
+{
+	struct msg_rollout_report *m = &msg->rollout_report;
+
+	m->rows = g_memdup2(m->rows, m->rows_len * sizeof(m->rows[0]));
+}
+
+static void free_rollout_report_data(struct msg *msg)
+{
+	g_free(msg->rollout_report.rows);
+}
+
 static void copy_config_data(struct msg *msg)
 {
 	if (msg->config.cfg)
--- a/packages/msg/msg.h
+++ b/packages/msg/msg.h
@@ -39,6 +39,13 @@
 	MSG_SUSPECTS_ASK,
 	MSG_SUSPECTS,
 	MSG_RUN_END,
+	MSG_ROLLOUT_REPORT,
+	MSG_ROLLOUT_STEP,
+	MSG_QUOTA_REPORT,
+	MSG_QUOTA_LEVEL,
+	MSG_QUOTA_ASK,
+	MSG_QUOTA_GRANT,
+	MSG_HELPERS,
 	MSG_KINDS
 };
 
@@ -240,6 +247,79 @@
 	gb_time end_age; /* time since it was lost, or answered */
 };
 
+/*
+ * What a VM has seen of a roll-out since its order: totals of answers by route
+ * and upstream, told to the VMs that judge the target version.
+ */
+struct msg_rollout_row {
+	uint64_t route;
+	uint64_t upstream;
+	bool is_target;
+	uint32_t answers;
+	uint32_t bad;
+};
+
+struct msg_rollout_report {
+	uint64_t order;
+	uint64_t vm; /* identity of the reporting process */
+	gb_time age; /* of the order */
+	uint32_t step;
+	uint32_t calls_current; /* in flight at the current version */
+	struct msg_rollout_row *rows;
+	uint32_t rows_len;
+};
+
+/* The step of a roll-out; it answers a report, and spreads a roll-back. */
+struct msg_rollout_step {
+	uint64_t order;
+	gb_time age;
+	uint32_t step;
+};
+
+/* Steps of a roll-out: canary, promoting, completed, rolled back. */
+#define MSG_ROLLOUT_STEPS 4
+
+/* What a VM has admitted of an organisation, told to its bucket VM. */
+struct msg_quota_report {
+	uint64_t vm; /* identity of the reporting process */
+	uint64_t org;
+	gb_time since; /* start of the totals, by the clock of that VM */
+	int64_t admitted;
+	uint32_t recent; /* admitted during the last window */
+	uint64_t
+		number; /* of a request that the bucket VM is to decide about */
+};
+
+/* The answer to MSG_QUOTA_ASK, which is a report with a request. */
+struct msg_quota_grant {
+	uint64_t org;
+	uint64_t number;
+	bool granted;
+	gb_time wait; /* until there may be room, if not granted */
+};
+
+/* The level of an organisation's bucket, in thousandths of a request. */
+struct msg_quota_level {
+	uint64_t org;
+	bool is_answer; /* to the report with these totals */
+	int64_t admitted;
+	int64_t level;
+};
+
+/* VMs that may gather queries for others, as far as the sender knows. */
+struct msg_helper {
+	struct gb_str address; /* for datagrams */
+	uint32_t dc_hash;
+	uint32_t share; /* of a core, in thousandths */
+	uint32_t queries; /* that it gathers */
+	gb_time age; /* since it said so */
+};
+
+struct msg_helpers {
+	struct msg_helper *helpers;
+	uint32_t helpers_len;
+};
+
 struct msg {
 	enum msg_kind kind;
 	uint32_t from; /* id of the sending VM */
@@ -262,6 +342,12 @@
 		struct msg_leaving leaving;
 		struct msg_suspects suspects;
 		struct msg_run_end run_end;
+		struct msg_rollout_report rollout_report;
+		struct msg_rollout_step rollout_step;
+		struct msg_quota_report quota_report;
+		struct msg_quota_level quota_level;
+		struct msg_quota_grant quota_grant;
+		struct msg_helpers helpers;
 	};
 };
 
--- a/packages/route/rt-table.c
+++ b/packages/route/rt-table.c
@@ -77,6 +77,7 @@
 	g_hash_table_destroy(table->by_name);
 	g_ptr_array_free(table->routes, TRUE);
 	g_ptr_array_free(table->services, TRUE);
+	og_table_free(table->organisations);
 	g_free(table);
 }
 
@@ -165,6 +166,17 @@
 	return false;
 }
 
+bool rt_yields(const struct rt_table *table, const struct rt_route *route,
+	       const struct og_org *org)
+{
+	if (!org || !table->organisations)
+		return rt_has_more_urgent_route(route);
+	if (og_table_has_more_urgent(table->organisations, org->priority))
+		return true;
+	return !og_table_has_less_urgent(table->organisations, org->priority) &&
+	       rt_has_more_urgent_route(route);
+}
+
 /* Looks up each prefix that ends with a slash, the longest first. */
 struct rt_route *rt_find_route(const struct rt_table *table, struct gb_str host,
 			       struct gb_str path)
@@ -184,13 +196,11 @@
 	return NULL;
 }
 
-const struct rt_target *rt_choose_target(struct rt_route *route)
+const struct rt_target *rt_next_target(const struct rt_route *route)
 {
 	double total = 0, max_deficit = -INFINITY;
 	uint32_t chosen = 0;
 
-	if (route->targets_len == 1)
-		return &route->targets[0];
 	for (uint32_t i = 0; i < route->targets_len; i++)
 		total += route->targets[i].weight;
 	for (uint32_t i = 0; i < route->targets_len; i++) {
@@ -203,11 +213,20 @@
 			chosen = i;
 		}
 	}
-	route->requests_sent++;
-	route->requests_sent_to[chosen]++;
 	return &route->targets[chosen];
 }
 
+const struct rt_target *rt_choose_target(struct rt_route *route)
+{
+	const struct rt_target *target = rt_next_target(route);
+
+	if (route->targets_len == 1)
+		return target;
+	route->requests_sent++;
+	route->requests_sent_to[target - route->targets]++;
+	return target;
+}
+
 uint32_t rt_parts_min(const struct rt_route *route)
 {
 	/* Without the margin, rounding errors make 0.89 * 100 become 90. */
--- a/packages/route/rt.h
+++ b/packages/route/rt.h
@@ -13,7 +13,7 @@
  *	rt_current holds the newest table; an older one never replaces it.
  */
 
-#include "base/gb.h"
+#include "organisation/og.h"
 
 #include <glib.h>
 
@@ -48,6 +48,7 @@
 	gb_time target_latency; /* 0 if none */
 	uint32_t priority; /* 0 is the most urgent */
 	uint32_t attempts_max; /* upstreams tried per request or shard */
+	bool is_public; /* needs no key, if the table has organisations */
 	bool fanout; /* to all targets instead of to one of them */
 	struct rt_target *targets;
 	uint32_t targets_len;
@@ -73,6 +74,8 @@
 	struct rt_limits limits;
 	GPtrArray *routes; /* of struct rt_route */
 	GPtrArray *services; /* of struct rt_service */
+	/* NULL: requests need no keys; owned */
+	struct og_table *organisations;
 	GHashTable *by_host_prefix; /* host and prefix to struct rt_route */
 	GHashTable *by_name; /* name to struct rt_service */
 	unsigned int refs;
@@ -105,11 +108,22 @@
  */
 bool rt_has_more_urgent_route(const struct rt_route *route);
 
+/*
+ * Tells whether requests that are more urgent share the services of the route.
+ * The priority of an organisation goes before that of the route; NULL if the
+ * request has none.
+ */
+bool rt_yields(const struct rt_table *table, const struct rt_route *route,
+	       const struct og_org *org);
+
 /* Returns the route of the host with the longest matching prefix, or NULL. */
 struct rt_route *rt_find_route(const struct rt_table *table, struct gb_str host,
 			       struct gb_str path);
 
-/* Chooses the target furthest below its weight; counts the request. */
+/* Returns the target furthest below its weight, which is the next one. */
+const struct rt_target *rt_next_target(const struct rt_route *route);
+
+/* Chooses the next target and counts the request. */
 const struct rt_target *rt_choose_target(struct rt_route *route);
 
 /* Returns the minimum number of shards in the answer of a fan-out. */
--- a/packages/suspect/sus-keep.c
+++ b/packages/suspect/sus-keep.c
@@ -70,6 +70,14 @@
 	known->is_stored = true;
 }
 
+void sus_keep_restored(struct sus_keeper *keeper)
+{
+	keeper->has_read = false;
+	for (size_t i = 0; i < keeper->kept_len; i++)
+		if (!keeper->kept[i].is_cleared)
+			keeper->kept[i].is_stored = false;
+}
+
 enum sus_keep_step sus_keep_next(const struct sus_keeper *keeper, gb_time now,
 				 struct sus_kept *kept)
 {
--- a/packages/suspect/sus-keep.h
+++ b/packages/suspect/sus-keep.h
@@ -65,6 +65,12 @@
 void sus_keep_cleared(struct sus_keeper *keeper, uint64_t fingerprint,
 		      bool is_responsible);
 
+/*
+ * Records that the store may have lost what was written to it: it is written
+ * again, and what the store has is read again.
+ */
+void sus_keep_restored(struct sus_keeper *keeper);
+
 /* Returns the call that is due, and for a request what it is about. */
 enum sus_keep_step sus_keep_next(const struct sus_keeper *keeper, gb_time now,
 				 struct sus_kept *kept);
--- a/packages/suspect/tests/keep-test.c
+++ b/packages/suspect/tests/keep-test.c
@@ -66,6 +66,17 @@
 			 scr_int(args, GB_STR("responsible"), 0));
 }
 
+/* restored: the store has come back from an older copy */
+static void cmd_restored(void *data, const struct scr_args *args,
+			 struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	(void)out;
+	sus_keep_restored(&ctx->keeper);
+}
+
 /* next at=: prints the call that is due and lets it begin */
 static void cmd_next(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
@@ -100,6 +111,7 @@
 		{ GB_STR_INIT("keep"), cmd_keep },
 		{ GB_STR_INIT("told"), cmd_told },
 		{ GB_STR_INIT("cleared"), cmd_cleared },
+		{ GB_STR_INIT("restored"), cmd_restored },
 		{ GB_STR_INIT("next"), cmd_next },
 		{ GB_STR_INIT("done"), cmd_done },
 	};
--- a/packages/wire/tests/wire-test.c
+++ b/packages/wire/tests/wire-test.c
@@ -29,6 +29,13 @@
 };
 
 static struct msg_suspect suspects[] = { { 160, 161, 162 }, { 163, 164, 165 } };
+static struct msg_rollout_row rollout_rows[] = { { 180, 181, true, 183, 182 },
+						 { 184, 185, false, 187,
+						   186 } };
+static struct msg_helper helpers[] = {
+	{ { "127.0.0.5:7380", 14 }, 220, 221, 222, 223 },
+	{ { "127.0.0.6:7380", 14 }, 224, 225, 226, 227 },
+};
 static struct msg_warm_upstream warm_items[] = { { 140, 141 }, { 142, 143 } };
 
 static struct gb_str hosts[] = { { "127.0.0.7", 9 }, { "127.0.0.8", 9 } };
@@ -79,6 +86,15 @@
 	[MSG_QUARANTINE].quarantine = { .fingerprint = 130, .crashes = 131 },
 	[MSG_SUSPECTS].suspects = { suspects, G_N_ELEMENTS(suspects) },
 	[MSG_RUN_END].run_end = { 170, true, 172, 171 },
+	[MSG_ROLLOUT_REPORT].rollout_report = { 190, 191, 192, 1, 193,
+						rollout_rows,
+						G_N_ELEMENTS(rollout_rows) },
+	[MSG_ROLLOUT_STEP].rollout_step = { 194, 195, 3 },
+	[MSG_QUOTA_REPORT].quota_report = { 200, 201, 202, -203, 204, 208 },
+	[MSG_QUOTA_ASK].quota_report = { 209, 210, 211, -212, 213, 214 },
+	[MSG_HELPERS].helpers = { helpers, G_N_ELEMENTS(helpers) },
+	[MSG_QUOTA_GRANT].quota_grant = { 215, 216, true, 217 },
+	[MSG_QUOTA_LEVEL].quota_level = { 205, true, -206, -207 },
 	[MSG_LEAVING].leaving = { hosts, G_N_ELEMENTS(hosts) },
 	[MSG_JOIN].join = { 150,
 			    { "vm-9", 4 },
--- a/packages/wire/wire-member.c
+++ b/packages/wire/wire-member.c
@@ -4,22 +4,30 @@
 /* The first word; distinguishes membership datagrams from others. */
 #define MAGIC 0x67626d32
 
-/* One word holds the refutations and, in its lowest bits, the state. */
+/*
+ * One word holds, from its lowest bits on, the state, the refutations, and the
+ * halvings of the processor share.
+ */
 #define STATE_BITS 2
+#define REFUTATION_BITS 24
+#define HALVINGS_SHIFT (STATE_BITS + REFUTATION_BITS)
+#define LOW_BITS(n) ((1u << (n)) - 1)
 
 static bool_t xdr_row(XDR *xdrs, struct mem_row *row)
 {
-	uint32_t refutations_and_state =
-		row->refutations << STATE_BITS | row->state;
+	uint32_t word = MIN(row->halvings, MEM_HALVINGS_MAX) << HALVINGS_SHIFT |
+			MIN(row->refutations, LOW_BITS(REFUTATION_BITS))
+				<< STATE_BITS |
+			row->state;
 	char *address = row->address;
 
 	if (!xdr_bytes(xdrs, &address, &row->address_len, MEM_ADDRESS_MAX) ||
 	    !wire_xdr_u64(xdrs, &row->incarnation) ||
-	    !wire_xdr_u32(xdrs, &row->dc_hash) ||
-	    !wire_xdr_u32(xdrs, &refutations_and_state))
+	    !wire_xdr_u32(xdrs, &row->dc_hash) || !wire_xdr_u32(xdrs, &word))
 		return FALSE;
-	row->refutations = refutations_and_state >> STATE_BITS;
-	row->state = refutations_and_state & ((1 << STATE_BITS) - 1);
+	row->halvings = word >> HALVINGS_SHIFT;
+	row->refutations = word >> STATE_BITS & LOW_BITS(REFUTATION_BITS);
+	row->state = word & LOW_BITS(STATE_BITS);
 	return row->state <= MEM_DEAD;
 }
 
--- a/packages/wire/wire-row.c
+++ b/packages/wire/wire-row.c
@@ -20,6 +20,13 @@
 	[MSG_SUSPECTS_ASK] = { .xdr = wire_xdr_suspects_ask },
 	[MSG_SUSPECTS] = { .xdr = wire_xdr_suspects },
 	[MSG_RUN_END] = { .xdr = wire_xdr_run_end },
+	[MSG_ROLLOUT_REPORT] = { .xdr = wire_xdr_rollout_report },
+	[MSG_ROLLOUT_STEP] = { .xdr = wire_xdr_rollout_step },
+	[MSG_QUOTA_REPORT] = { .xdr = wire_xdr_quota_report },
+	[MSG_QUOTA_LEVEL] = { .xdr = wire_xdr_quota_level },
+	[MSG_QUOTA_ASK] = { .xdr = wire_xdr_quota_report },
+	[MSG_QUOTA_GRANT] = { .xdr = wire_xdr_quota_grant },
+	[MSG_HELPERS] = { .xdr = wire_xdr_helpers },
 };
 
 const struct wire_row *wire_row(uint32_t kind)
--- a/packages/wire/wire-row.h
+++ b/packages/wire/wire-row.h
@@ -53,6 +53,12 @@
 bool_t wire_xdr_suspects_ask(XDR *xdrs, struct wire_ctx *ctx);
 bool_t wire_xdr_suspects(XDR *xdrs, struct wire_ctx *ctx);
 bool_t wire_xdr_run_end(XDR *xdrs, struct wire_ctx *ctx);
+bool_t wire_xdr_rollout_report(XDR *xdrs, struct wire_ctx *ctx);
+bool_t wire_xdr_rollout_step(XDR *xdrs, struct wire_ctx *ctx);
+bool_t wire_xdr_quota_report(XDR *xdrs, struct wire_ctx *ctx);
+bool_t wire_xdr_quota_level(XDR *xdrs, struct wire_ctx *ctx);
+bool_t wire_xdr_quota_grant(XDR *xdrs, struct wire_ctx *ctx);
+bool_t wire_xdr_helpers(XDR *xdrs, struct wire_ctx *ctx);
 void wire_prepare_config(struct wire_ctx *ctx);
 
 /* Values. They fail if a decoded value is out of range. */
