--- a/packages/ctl/ctl-each.c
+++ b/packages/ctl/ctl-each.c
@@ -13,10 +13,19 @@
 int ctl_get_from_all(const struct ctl_cmdline *cmdline, struct gb_str path,
 		     ctl_format_answer format_answer)
 {
-	struct ctl_call *calls =
-		ctl_new_calls(cmdline->servers, GB_STR("GET"), path);
+	return ctl_ask_all(cmdline, GB_STR("GET"), path, GB_STR(""),
+			   format_answer);
+}
+
+int ctl_ask_all(const struct ctl_cmdline *cmdline, struct gb_str method,
+		struct gb_str path, struct gb_str body,
+		ctl_format_answer format_answer)
+{
+	struct ctl_call *calls = ctl_new_calls(cmdline->servers, method, path);
 	int status = CTL_EXIT_UNREACHABLE;
 
+	for (guint i = 0; i < cmdline->servers->len; i++)
+		calls[i].body = body;
 	ctl_http_run(calls, cmdline->servers->len, cmdline->timeout);
 	for (guint i = 0; i < cmdline->servers->len; i++) {
 		struct gb_buf text = GB_BUF_INIT;
--- a/packages/ctl/ctl-table.c
+++ b/packages/ctl/ctl-table.c
@@ -39,6 +39,27 @@
 		  GB_STR_INIT("Show the state of VMs of role front; --server "
 			      "takes their control addresses."),
 	  .run = ctl_state },
+	{ .name = GB_STR_INIT("rollouts"),
+	  .usage = GB_STR_INIT(""),
+	  .description =
+		  GB_STR_INIT("Show the roll-outs that VMs of role front know; "
+			      "--server takes their control addresses."),
+	  .run = ctl_rollouts },
+	{ .name = GB_STR_INIT("organisations"),
+	  .usage = GB_STR_INIT(""),
+	  .description = GB_STR_INIT(
+		  "Show the limits and use of organisations at VMs of role "
+		  "front; --server takes their control addresses."),
+	  .run = ctl_organisations },
+	{ .name = GB_STR_INIT("explain"),
+	  .usage = GB_STR_INIT("HOST PATH [KEY]"),
+	  .description = GB_STR_INIT(
+		  "Show where a request would go now at VMs of role front, and "
+		  "why, without sending it; --server takes their control "
+		  "addresses."),
+	  .args_min = 2,
+	  .args_max = 3,
+	  .run = ctl_explain },
 	{ .name = GB_STR_INIT("log"),
 	  .usage = GB_STR_INIT("FILE..."),
 	  .description = GB_STR_INIT("Show the events in log files of several "
--- a/packages/ctl/ctl.h
+++ b/packages/ctl/ctl.h
@@ -69,6 +69,9 @@
 int ctl_log(const struct ctl_cmdline *cmdline);
 int ctl_report(const struct ctl_cmdline *cmdline);
 int ctl_state(const struct ctl_cmdline *cmdline);
+int ctl_rollouts(const struct ctl_cmdline *cmdline);
+int ctl_organisations(const struct ctl_cmdline *cmdline);
+int ctl_explain(const struct ctl_cmdline *cmdline);
 int ctl_events_catalogue(const struct ctl_cmdline *cmdline);
 int ctl_settings_manual(const struct ctl_cmdline *cmdline);
 
@@ -122,6 +125,11 @@
 int ctl_get_from_all(const struct ctl_cmdline *cmdline, struct gb_str path,
 		     ctl_format_answer format_answer);
 
+/* The same with another method, and a body. */
+int ctl_ask_all(const struct ctl_cmdline *cmdline, struct gb_str method,
+		struct gb_str path, struct gb_str body,
+		ctl_format_answer format_answer);
+
 /* Appends a line with the address of the server, then the answer as it is. */
 void ctl_format_text(const struct ctl_cmdline *cmdline,
 		     const struct ctl_call *call, struct gb_buf *text);
--- a/packages/ctl/tests/ctl-test.c
+++ b/packages/ctl/tests/ctl-test.c
@@ -162,9 +162,23 @@
 	return gb_str_eq(name, GB_STR("down")) ? CTL_NOT_SENT : CTL_ANSWERED;
 }
 
+/* Returns a copy with spaces for "~" and line ends for "|". */
+static struct gb_str decode_text(struct gb_str text)
+{
+	struct gb_str copy = gb_str_dup(text);
+
+	for (size_t i = 0; i < copy.len; i++) {
+		char *c = (char *)&copy.ptr[i];
+
+		*c = *c == '~' ? ' ' : *c == '|' ? '\n' : *c;
+	}
+	return copy;
+}
+
 static void cmd_answer(void *ctx, const struct scr_args *args,
 		       struct gb_buf *out)
 {
+	struct gb_str text = scr_str(args, GB_STR("text"), GB_STR(""));
 	struct answer answer = {
 		.port = scr_int(args, GB_STR("port"), 1),
 		.path = gb_str_dup(scr_str(args, GB_STR("path"), GB_STR(""))),
@@ -178,6 +192,10 @@
 
 	(void)ctx;
 	(void)out;
+	if (text.len) {
+		gb_str_free(&answer.body);
+		answer.body = decode_text(text);
+	}
 	g_array_append_val(answers, answer);
 }
 
--- a/packages/fleet/fl-fleet.c
+++ b/packages/fleet/fl-fleet.c
@@ -24,6 +24,8 @@
 	struct fl_service *service = data;
 
 	gb_str_free(&service->name);
+	gb_str_free(&service->current_version);
+	gb_str_free(&service->target_version);
 	g_ptr_array_free(service->upstreams, TRUE);
 	g_free(service->data);
 	g_free(service);
@@ -36,6 +38,7 @@
 	gb_str_free(&upstream->id);
 	gb_str_free(&upstream->address);
 	gb_str_free(&upstream->dc);
+	gb_str_free(&upstream->version);
 	g_free(upstream);
 }
 
@@ -151,9 +154,13 @@
 		g_hash_table_lookup(fleet->upstreams, &entry->id);
 
 	bool is_new = !upstream;
+	bool still_leaves;
 
 	if (upstream && entry->process_start < upstream->process_start)
 		return NULL;
+	/* A copy that is older may not say yet that the upstream leaves. */
+	still_leaves = !is_new && entry->restored && upstream->leaving &&
+		       entry->process_start == upstream->process_start;
 	if (is_new)
 		upstream = new_upstream(fleet, entry->id);
 	else if (entry->process_start != upstream->process_start ||
@@ -164,6 +171,7 @@
 	upstream->listed = true;
 	replace_str(&upstream->address, entry->address);
 	replace_str(&upstream->dc, entry->dc);
+	replace_str(&upstream->version, entry->version);
 	set_service(upstream, fl_service(fleet, entry->service));
 	set_cold(upstream, now, entry->cold_remaining);
 	/*
@@ -173,7 +181,10 @@
 	if (entry->leaving && !upstream->leaving)
 		upstream->left_at = now - (is_new ? fleet->last_resort_time
 						  : entry->unseen);
-	upstream->leaving = entry->leaving || upstream->leaving_announced;
+	upstream->entry_leaving = entry->leaving;
+	upstream->leaving =
+		entry->leaving || upstream->leaving_announced || still_leaves;
+	fl_update_version(fleet, upstream->service, now);
 	return upstream;
 }
 
@@ -185,13 +196,57 @@
 	upstream->left_at = now;
 }
 
-void fl_remove_entry(struct fl_fleet *fleet, gb_time now, struct gb_str id)
+static bool has_others_listed(const struct fl_upstream *upstream)
+{
+	const GPtrArray *all = upstream->service->upstreams;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fl_upstream *other = all->pdata[i];
+
+		if (other != upstream && !other->leaving)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether another upstream of the service has said that it leaves. */
+static bool has_others_draining(const struct fl_upstream *upstream)
+{
+	const GPtrArray *all = upstream->service->upstreams;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct fl_upstream *other = all->pdata[i];
+
+		if (other != upstream &&
+		    (other->entry_leaving || other->leaving_announced))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The upstream may have said that it leaves, and have left, while changes went
+ * unseen. The last one of a service stays usable for longer: when leases lapse
+ * in an outage of the store, the upstreams still serve. If others drain, it has
+ * left as well.
+ */
+static void mark_removed(struct fl_upstream *upstream, gb_time now,
+			 gb_time unseen)
+{
+	bool may_have_lapsed =
+		!has_others_listed(upstream) && !has_others_draining(upstream);
+
+	mark_leaving(upstream, may_have_lapsed ? now : now - unseen);
+}
+
+void fl_remove_entry(struct fl_fleet *fleet, gb_time now, struct gb_str id,
+		     gb_time unseen)
 {
 	struct fl_upstream *upstream =
 		g_hash_table_lookup(fleet->upstreams, &id);
 
 	if (upstream)
-		mark_leaving(upstream, now);
+		mark_removed(upstream, now, unseen);
 }
 
 void fl_list_begin(struct fl_fleet *fleet)
@@ -204,7 +259,7 @@
 		((struct fl_upstream *)value)->listed = false;
 }
 
-void fl_list_end(struct fl_fleet *fleet, gb_time now)
+void fl_list_end(struct fl_fleet *fleet, gb_time now, gb_time unseen)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -214,7 +269,7 @@
 		struct fl_upstream *upstream = value;
 
 		if (!upstream->listed)
-			mark_leaving(upstream, now);
+			mark_removed(upstream, now, unseen);
 	}
 }
 
@@ -235,8 +290,9 @@
 bool fl_has_departed(const struct fl_fleet *fleet,
 		     const struct fl_upstream *upstream, gb_time now)
 {
-	return upstream->leaving &&
-	       now - upstream->left_at >= fleet->last_resort_time;
+	return fl_is_barred(fleet, upstream) ||
+	       (upstream->leaving &&
+		now - upstream->left_at >= fleet->last_resort_time);
 }
 
 /* Time for which an upstream that is leaving is remembered. */
--- a/packages/fleet/fl-internal.h
+++ b/packages/fleet/fl-internal.h
@@ -20,6 +20,17 @@
 	GHashTable *excluded; /* data centre to struct exclusion */
 };
 
+/*
+ * Tells whether the version of the upstream is neither the current nor the
+ * target version of its service.
+ */
+bool fl_is_barred(const struct fl_fleet *fleet,
+		  const struct fl_upstream *upstream);
+
+/* Determines the current version again if no upstream has it any more. */
+void fl_update_version(const struct fl_fleet *fleet, struct fl_service *service,
+		       gb_time now);
+
 GHashTable *fl_exclusions_new(void);
 bool fl_is_excluded(const struct fl_fleet *fleet, struct gb_str dc);
 
--- a/packages/fleet/fl-score.c
+++ b/packages/fleet/fl-score.c
@@ -233,8 +233,8 @@
 
 	if (!gb_str_eq(upstream->dc, fleet->settings.dc))
 		expected += fleet->settings.cross_dc_rtt;
-	expected *= 1 + FAILURE_COST * current_failure_rate(upstream, now);
-	return expected * (1 + COST_JITTER * gb_rng_unit(fleet->rng));
+	return expected *
+	       (1 + FAILURE_COST * current_failure_rate(upstream, now));
 }
 
 static bool is_skipped(const struct fl_upstream *upstream,
@@ -243,48 +243,62 @@
 	for (size_t i = 0; i < options->skip_len; i++)
 		if (options->skip[i] == upstream)
 			return true;
-	return false;
+	return options->of_target != fl_is_target(upstream);
 }
 
-/* Classes of upstreams; a later one is used only if the earlier are empty. */
-enum tier { TIER_GOOD, TIER_AVOIDED, TIER_LAST_RESORT, TIER_UNUSABLE };
+static void set_class(struct fl_assessment *found, enum fl_class class,
+		      struct gb_str reason, gb_time wait)
+{
+	found->class = class;
+	found->reason = reason;
+	found->wait = wait;
+}
 
-static enum tier tier_of(const struct fl_fleet *fleet,
-			 struct fl_upstream *upstream, gb_time now,
-			 gb_time *wait)
+static void classify(const struct fl_fleet *fleet, struct fl_upstream *upstream,
+		     gb_time now, struct fl_assessment *found)
 {
 	if (fl_is_excluded(fleet, upstream->dc))
-		return TIER_UNUSABLE;
-	if (upstream->unreachable_until > now) {
-		*wait = MIN(*wait, upstream->unreachable_until - now);
-		return TIER_UNUSABLE;
-	}
-	if (fl_has_departed(fleet, upstream, now))
-		return TIER_UNUSABLE;
-	if (fl_is_paused(upstream, now)) {
-		*wait = MIN(*wait, upstream->paused_until - now);
-		return TIER_UNUSABLE;
-	}
-	if (upstream->leaving)
-		return TIER_LAST_RESORT;
-	if (upstream->cold_until > now &&
-	    !fl_cold_has_token(fleet, upstream, now)) {
-		*wait = MIN(*wait, AVOID_MIN);
-		return TIER_UNUSABLE;
-	}
-	if (fl_is_unresponsive(upstream, now)) {
-		*wait = MIN(*wait, upstream->avoid_until - now);
-		return TIER_UNUSABLE;
-	}
-	return upstream->avoid_until > now ? TIER_AVOIDED : TIER_GOOD;
+		set_class(found, FL_UNUSABLE, GB_STR("dc_excluded"), GB_NEVER);
+	else if (upstream->unreachable_until > now)
+		set_class(found, FL_UNUSABLE, GB_STR("unreachable"),
+			  upstream->unreachable_until - now);
+	else if (fl_has_departed(fleet, upstream, now))
+		set_class(found, FL_UNUSABLE, GB_STR("left"), GB_NEVER);
+	else if (fl_is_paused(upstream, now))
+		set_class(found, FL_UNUSABLE, GB_STR("paused"),
+			  upstream->paused_until - now);
+	else if (upstream->leaving)
+		set_class(found, FL_LAST_RESORT, GB_STR("leaving"), GB_NEVER);
+	else if (upstream->cold_until > now &&
+		 !fl_cold_has_token(fleet, upstream, now))
+		set_class(found, FL_UNUSABLE, GB_STR("cold"), AVOID_MIN);
+	else if (fl_is_unresponsive(upstream, now))
+		set_class(found, FL_UNUSABLE, GB_STR("unresponsive"),
+			  upstream->avoid_until - now);
+	else if (upstream->avoid_until > now)
+		set_class(found, FL_AVOIDED, GB_STR("late"), GB_NEVER);
+	else
+		set_class(found, FL_GOOD, GB_STR(""), GB_NEVER);
+}
+
+void fl_assess(const struct fl_fleet *fleet, struct fl_upstream *upstream,
+	       gb_time median_latency, gb_time now, struct fl_assessment *found)
+{
+	found->upstream = upstream;
+	classify(fleet, upstream, now, found);
+	found->expected =
+		expected_response(fleet, upstream, median_latency, now);
+	found->load = load(upstream, now);
+	found->latency_ratio = fl_latency_ratio(upstream, now);
+	found->failure_rate = current_failure_rate(upstream, now);
 }
 
-static bool is_healthy(const struct fl_upstream *upstream,
-		       const struct fl_pick_options *options, enum tier tier,
-		       gb_time now)
+static bool is_healthy(const struct fl_assessment *found,
+		       const struct fl_pick_options *options, gb_time now)
 {
-	return tier == TIER_GOOD &&
-	       !(options->free_slot_only && fl_queue_rounds(upstream, now) > 0);
+	return found->class == FL_GOOD &&
+	       !(options->free_slot_only &&
+		 fl_queue_rounds(found->upstream, now) > 0);
 }
 
 struct fl_upstream *fl_pick_upstream(struct fl_fleet *fleet,
@@ -292,30 +306,33 @@
 				     const struct fl_pick_options *options,
 				     gb_time now, gb_time *wait)
 {
-	enum tier best_tier =
-		options->healthy_only ? TIER_AVOIDED : TIER_UNUSABLE;
+	enum fl_class best_class =
+		options->healthy_only ? FL_AVOIDED : FL_UNUSABLE;
 	struct fl_upstream *best = NULL;
 	double best_expected = 0;
 
 	*wait = GB_NEVER;
 	for (guint i = 0; i < service->upstreams->len; i++) {
-		struct fl_upstream *upstream = service->upstreams->pdata[i];
-		enum tier tier;
+		struct fl_assessment found;
 		double expected;
 
-		if (is_skipped(upstream, options))
+		if (is_skipped(service->upstreams->pdata[i], options))
 			continue;
-		tier = tier_of(fleet, upstream, now, wait);
-		if (tier > best_tier || tier == TIER_UNUSABLE ||
+		found.upstream = service->upstreams->pdata[i];
+		classify(fleet, found.upstream, now, &found);
+		*wait = MIN(*wait, found.wait);
+		if (found.class > best_class || found.class == FL_UNUSABLE ||
 		    (options->healthy_only &&
-		     !is_healthy(upstream, options, tier, now)))
+		     !is_healthy(&found, options, now)))
 			continue;
-		expected = expected_response(fleet, upstream,
-					     options->median_latency, now);
-		if (best && tier == best_tier && expected >= best_expected)
+		expected = expected_response(fleet, found.upstream,
+					     options->median_latency, now) *
+			   (1 + COST_JITTER * gb_rng_unit(fleet->rng));
+		if (best && found.class == best_class &&
+		    expected >= best_expected)
 			continue;
-		best = upstream;
-		best_tier = tier;
+		best = found.upstream;
+		best_class = found.class;
 		best_expected = expected;
 	}
 	return best;
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -39,9 +39,18 @@
 
 struct fl_fleet;
 struct fl_upstream;
+struct ro_rollout;
 
 struct fl_service {
 	struct gb_str name;
+	/*
+	 * The version whose upstreams get requests, and the one to which an
+	 * operator moves the service; empty if not known, or if there is none.
+	 */
+	struct gb_str current_version;
+	struct gb_str target_version;
+	bool target_barred; /* it was rolled back, and gets no requests */
+	struct ro_rollout *rollout; /* of the caller; NULL if there is none */
 	GPtrArray *upstreams; /* of struct fl_upstream */
 	/* Connections to one upstream from all VMs together; 0: unknown. */
 	uint32_t conns_max;
@@ -61,8 +70,10 @@
 	struct gb_str service;
 	struct gb_str address; /* "ADDRESS:PORT" */
 	struct gb_str dc;
+	struct gb_str version; /* of its software; may be empty */
 	uint32_t slots; /* requests that it runs at once */
 	bool leaving; /* draining */
+	bool restored; /* from an older copy of the store */
 	gb_time unseen; /* time for which a change may have gone unseen */
 	gb_time cold_remaining; /* time until it is warm; 0: warm */
 	int64_t process_start; /* start time of the process; 0: unknown */
@@ -72,11 +83,13 @@
 	struct gb_str id;
 	struct gb_str address;
 	struct gb_str dc;
+	struct gb_str version;
 	struct fl_service *service;
 	uint32_t slots;
 	int64_t process_start;
 	bool leaving; /* draining, announced it, or its entry was removed */
 	gb_time left_at;
+	bool entry_leaving; /* its last entry says so */
 	bool leaving_announced; /* by this process, in an answer */
 	gb_time paused_until; /* the end of the time it asked for */
 	gb_time cold_until;
@@ -112,6 +125,11 @@
 	gb_time cross_dc_rtt; /* to another data centre */
 	gb_time drain_time; /* a draining upstream serves this long */
 	double cold_burst; /* requests at once to a cold upstream, all VMs */
+	/*
+	 * Upstreams of a version other than the current one of their service
+	 * get no requests before an operator moves the service to it.
+	 */
+	bool checks_versions;
 };
 
 struct fl_ops {
@@ -136,12 +154,16 @@
  */
 struct fl_upstream *fl_apply_entry(struct fl_fleet *fleet, gb_time now,
 				   const struct fl_entry *entry);
-/* Marks an upstream as leaving, since its entry was removed. */
-void fl_remove_entry(struct fl_fleet *fleet, gb_time now, struct gb_str id);
+/*
+ * Marks an upstream as leaving, since its entry was removed; it may have been
+ * so for the time for which changes may have gone unseen.
+ */
+void fl_remove_entry(struct fl_fleet *fleet, gb_time now, struct gb_str id,
+		     gb_time unseen);
 
 /* Upstreams without a fl_apply_entry() between these are marked as leaving. */
 void fl_list_begin(struct fl_fleet *fleet);
-void fl_list_end(struct fl_fleet *fleet, gb_time now);
+void fl_list_end(struct fl_fleet *fleet, gb_time now, gb_time unseen);
 
 /*
  * Excludes a data centre from all choices, or includes it again. Returns
@@ -190,8 +212,39 @@
 /* Frees upstreams that have left, are not held and have no call in flight. */
 void fl_purge_departed(struct fl_fleet *fleet, gb_time now);
 
+/*
+ * VERSIONS
+ *	These have an effect only if the fleet checks versions. The current
+ *	version of a service is that of the first upstream that was listed, as
+ *	long as one of that version is left.
+ */
+
+/* Begins moving a service to a version. */
+void fl_set_target_version(struct fl_fleet *fleet, struct fl_service *service,
+			   struct gb_str version, gb_time now);
+
+/* Ends it without success: the target version gets no requests any more. */
+void fl_bar_target_version(struct fl_service *service);
+
+/* Makes the target version the current one. */
+void fl_complete_target_version(struct fl_service *service);
+bool fl_is_target(const struct fl_upstream *upstream);
+
+/* Upstreams of the target or the current version that take requests. */
+uint32_t fl_count_ready(const struct fl_fleet *fleet,
+			const struct fl_service *service, bool is_target,
+			gb_time now);
+
+/* Calls of this VM at upstreams of any but the target version. */
+uint32_t fl_calls_off_target(const struct fl_service *service);
+
+/* The live VMs, and the rank of this one for a key, from 0. */
+uint32_t fl_live_vms(const struct fl_fleet *fleet);
+uint32_t fl_vm_rank(const struct fl_fleet *fleet, uint64_t key);
+
 /* Constraints on the choice of an upstream. */
 struct fl_pick_options {
+	bool of_target; /* of the target version, instead of the current one */
 	gb_time median_latency; /* of this kind of request */
 	const struct fl_upstream *const *skip; /* never chosen */
 	size_t skip_len;
@@ -208,6 +261,33 @@
 				     const struct fl_pick_options *options,
 				     gb_time now, gb_time *wait);
 
+/* A later class is used only if there are none of the earlier ones. */
+enum fl_class { FL_GOOD, FL_AVOIDED, FL_LAST_RESORT, FL_UNUSABLE };
+
+/* What the choice between upstreams goes by. */
+struct fl_assessment {
+	struct fl_upstream *upstream;
+	enum fl_class class;
+	struct gb_str reason; /* of the class; empty for a good upstream */
+	gb_time wait; /* until it may be usable; GB_NEVER: not known, or it is
+		       */
+	double expected; /* response time, us, before the random part */
+	double load; /* requests of all VMs, as far as they are known */
+	double latency_ratio;
+	double failure_rate;
+};
+
+void fl_assess(const struct fl_fleet *fleet, struct fl_upstream *upstream,
+	       gb_time median_latency, gb_time now,
+	       struct fl_assessment *found);
+
+typedef void (*fl_assessed_fn)(void *ctx, const struct fl_assessment *found);
+
+/* Visits the upstreams in the order in which they would be chosen now. */
+void fl_explain(struct fl_fleet *fleet, const struct fl_service *service,
+		const struct fl_pick_options *options, gb_time now,
+		fl_assessed_fn visit, void *ctx);
+
 /*
  * Service times that a new request would wait in the upstream's queue: 0 while
  * a slot is free, 1 if, with the new one, as many requests wait as run.
--- a/packages/fleet/tests/fleet-test.c
+++ b/packages/fleet/tests/fleet-test.c
@@ -43,7 +43,8 @@
 	return ctx->rank;
 }
 
-static struct fl_fleet *new_fleet(struct ctx *ctx, gb_time drain)
+static struct fl_fleet *new_fleet(struct ctx *ctx, gb_time drain,
+				  bool checks_versions)
 {
 	static const struct fl_ops ops = { .upstream_reset = on_upstream_reset,
 					   .exclusion_ended =
@@ -53,7 +54,9 @@
 	const struct fl_settings settings = { .dc = GB_STR_INIT("here"),
 					      .cross_dc_rtt = 6 * GB_MSEC,
 					      .drain_time = drain,
-					      .cold_burst = 5 };
+					      .cold_burst = 5,
+					      .checks_versions =
+						      checks_versions };
 
 	return fl_new(&settings, &ops, &membership, ctx, &ctx->rng);
 }
@@ -66,7 +69,7 @@
 	ctx->median_latency = 10 * GB_MSEC;
 	ctx->vms = 1;
 	ctx->rng.state = 7;
-	ctx->fleet = new_fleet(ctx, 2800 * GB_MSEC);
+	ctx->fleet = new_fleet(ctx, 2800 * GB_MSEC, false);
 	return ctx;
 }
 
@@ -87,10 +90,46 @@
 
 	ctx->out = out;
 	fl_free(ctx->fleet);
-	ctx->fleet = new_fleet(ctx, scr_int(args, GB_STR("ms"), 0) * GB_MSEC);
+	ctx->fleet =
+		new_fleet(ctx, scr_int(args, GB_STR("ms"), 0) * GB_MSEC, false);
 }
 
-/* put ID dc= process_start= leaving= unseen_ms= cold_ms= address= */
+/* versions: replaces the fleet by an empty one that checks versions */
+static void cmd_versions(void *data, const struct scr_args *args,
+			 struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+
+	(void)args;
+	ctx->out = out;
+	fl_free(ctx->fleet);
+	ctx->fleet = new_fleet(ctx, 2800 * GB_MSEC, true);
+}
+
+/* move to=VERSION | end=completed | end=barred: a roll-out begins or ends */
+static void cmd_move(void *data, const struct scr_args *args,
+		     struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	struct fl_service *service = fl_service(ctx->fleet, GB_STR("s"));
+	struct gb_str to = scr_str(args, GB_STR("to"), GB_STR(""));
+	struct gb_str end = scr_str(args, GB_STR("end"), GB_STR(""));
+
+	if (to.len)
+		fl_set_target_version(ctx->fleet, service, to, ctx->now);
+	else if (gb_str_eq(end, GB_STR("completed")))
+		fl_complete_target_version(service);
+	else
+		fl_bar_target_version(service);
+	gb_buf_addf(out, "  ready: target %u, current %u\n",
+		    fl_count_ready(ctx->fleet, service, true, ctx->now),
+		    fl_count_ready(ctx->fleet, service, false, ctx->now));
+}
+
+/*
+ * put ID dc= version= process_start= leaving= restored= unseen_ms= cold_ms=
+ * address=
+ */
 static void cmd_put(void *data, const struct scr_args *args, struct gb_buf *out)
 {
 	struct ctx *ctx = data;
@@ -100,8 +139,10 @@
 		.address =
 			scr_str(args, GB_STR("address"), GB_STR("10.0.0.1:80")),
 		.dc = scr_str(args, GB_STR("dc"), GB_STR("here")),
+		.version = scr_str(args, GB_STR("version"), GB_STR("")),
 		.slots = 2,
 		.leaving = scr_int(args, GB_STR("leaving"), 0),
+		.restored = scr_int(args, GB_STR("restored"), 0),
 		.unseen = scr_int(args, GB_STR("unseen_ms"), 0) * GB_MSEC,
 		.cold_remaining = scr_int(args, GB_STR("cold_ms"), 0) * GB_MSEC,
 		.process_start = scr_int(args, GB_STR("process_start"), 1),
@@ -118,7 +159,8 @@
 	struct ctx *ctx = data;
 
 	(void)out;
-	fl_remove_entry(ctx->fleet, ctx->now, scr_word(args, 0));
+	fl_remove_entry(ctx->fleet, ctx->now, scr_word(args, 0),
+			scr_int(args, GB_STR("unseen_ms"), 0) * GB_MSEC);
 }
 
 static void cmd_list(void *data, const struct scr_args *args,
@@ -130,7 +172,8 @@
 	if (gb_str_eq(scr_word(args, 0), GB_STR("begin")))
 		fl_list_begin(ctx->fleet);
 	else
-		fl_list_end(ctx->fleet, ctx->now);
+		fl_list_end(ctx->fleet, ctx->now,
+			    scr_int(args, GB_STR("unseen_ms"), 0) * GB_MSEC);
 }
 
 static void cmd_exclude(void *data, const struct scr_args *args,
@@ -179,9 +222,10 @@
 }
 
 static struct fl_upstream *pick(struct ctx *ctx, bool healthy_only,
-				gb_time *wait)
+				bool of_target, gb_time *wait)
 {
-	const struct fl_pick_options options = { .median_latency =
+	const struct fl_pick_options options = { .of_target = of_target,
+						 .median_latency =
 							 ctx->median_latency,
 						 .healthy_only = healthy_only };
 
@@ -190,8 +234,8 @@
 }
 
 /*
- * pick n= healthy=: picks n times without sending, and prints how often each
- * upstream was chosen; prints the wait if there was none to choose.
+ * pick n= healthy= target=: picks n times without sending, and prints how often
+ * each upstream was chosen; prints the wait if there was none to choose.
  */
 static void cmd_pick(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
@@ -205,7 +249,8 @@
 
 	for (int64_t i = 0; i < n; i++) {
 		struct fl_upstream *upstream =
-			pick(ctx, scr_int(args, GB_STR("healthy"), 0), &wait);
+			pick(ctx, scr_int(args, GB_STR("healthy"), 0),
+			     scr_int(args, GB_STR("target"), 0), &wait);
 		gint count;
 
 		if (!upstream) {
@@ -319,7 +364,7 @@
 	for (; ctx->now < until; ctx->now += 10 * GB_MSEC) {
 		struct fl_upstream *upstream;
 
-		while ((upstream = pick(ctx, false, &wait))) {
+		while ((upstream = pick(ctx, false, false, &wait))) {
 			fl_call_sent(ctx->fleet, upstream, ctx->now);
 			fl_call_answered(upstream, ctx->now,
 					 ctx->median_latency,
@@ -336,6 +381,8 @@
 {
 	static const struct scr_command commands[] = {
 		{ GB_STR_INIT("drain"), cmd_drain },
+		{ GB_STR_INIT("versions"), cmd_versions },
+		{ GB_STR_INIT("move"), cmd_move },
 		{ GB_STR_INIT("put"), cmd_put },
 		{ GB_STR_INIT("remove"), cmd_remove },
 		{ GB_STR_INIT("list"), cmd_list },
--- a/packages/forward/fw-admit.c
+++ b/packages/forward/fw-admit.c
@@ -1,3 +1,4 @@
+#include "forward/fw-fair.h"
 #include "forward/fw-internal.h"
 
 /* How long delays must stay beyond a threshold to start or end an overload. */
@@ -22,6 +23,9 @@
 /* Less urgent routes are refused from this share of the overload limit on. */
 #define LOW_PRIORITY_SHARE 0.7
 
+/* Organisations that use more than their share are refused from here on. */
+#define BEYOND_SHARE 0.5
+
 /* Share of the limit below which the delays must stay to end an overload. */
 #define OVERLOAD_END_SHARE 0.25
 
@@ -102,30 +106,68 @@
 
 	if (lowest_target)
 		limit = MIN(limit, lowest_target * LOWEST_TARGET_SHARE);
-	if (rt_has_more_urgent_route(request->route))
+	if (rt_yields(request->table, request->route, request->org))
 		limit *= LOW_PRIORITY_SHARE;
 	return MAX(limit, median);
 }
 
-/* Tells whether the delay of the request is over the limits. */
-static bool should_refuse(const struct fw_request *request, gb_time delay,
-			  gb_time now)
+/*
+ * An organisation beyond its share is refused before the others are, and also
+ * for delays of a short time: it is the one that causes them.
+ */
+static bool yields_to_others(const struct fw_request *request, gb_time delay,
+			     gb_time limit, gb_time now)
+{
+	return request->org && delay > limit * BEYOND_SHARE &&
+	       fw_fair_is_beyond(request->engine->fair, request->org, now);
+}
+
+/* Compares the delay with the limits; the state of overload is given. */
+static void compare(const struct fw_request *request, gb_time now,
+		    struct fw_admission_view *view)
 {
 	gb_time median = fw_median_latency(request);
-	gb_time limit = overload_limit(request, now);
 	gb_time deadline_limit = (request->deadline - now) * DEADLINE_SHARE;
-	bool overload =
-		update_overload(&request->stats->admission, delay, limit, now);
-	bool refused = delay > MAX(deadline_limit, median) ||
-		       (overload && delay > limit);
 
-	if (refused)
+	view->yields = yields_to_others(request, view->delay, view->limit, now);
+	view->refused = view->delay > MAX(deadline_limit, median) ||
+			(view->overload && view->delay > view->limit) ||
+			view->yields;
+}
+
+void fw_view_admission(const struct fw_request *request,
+		       struct fl_upstream *const *chosen, gb_time now,
+		       struct fw_admission_view *view)
+{
+	*view = (struct fw_admission_view){
+		.delay = answer_delay(request, chosen, fw_parts_needed(request),
+				      now),
+		.limit = overload_limit(request, now),
+		.overload = request->stats->admission.overload,
+	};
+	compare(request, now, view);
+}
+
+/* Tells whether the delay of the request is over the limits. */
+static bool should_refuse(const struct fw_request *request, gb_time delay,
+			  gb_time now)
+{
+	struct fw_admission_view view = {
+		.delay = delay, .limit = overload_limit(request, now)
+	};
+
+	view.overload = update_overload(&request->stats->admission, delay,
+					view.limit, now);
+	compare(request, now, &view);
+	if (view.refused)
 		fw_emit_event(
 			request, EV_FORWARD_OVERLOAD, NULL,
-			"delay_us=%lld most_us=%lld usual_us=%lld overload=%d",
-			(long long)delay, (long long)limit, (long long)median,
-			overload);
-	return refused;
+			"delay_us=%lld most_us=%lld usual_us=%lld overload=%d "
+			"beyond_share=%d",
+			(long long)delay, (long long)view.limit,
+			(long long)fw_median_latency(request), view.overload,
+			view.yields);
+	return view.refused;
 }
 
 bool fw_should_shed(const struct fw_request *request,
@@ -133,5 +175,10 @@
 		    gb_time now, gb_time *delay)
 {
 	*delay = answer_delay(request, chosen, parts_needed, now);
-	return should_refuse(request, *delay, now);
+	if (should_refuse(request, *delay, now))
+		return true;
+	if (request->org)
+		fw_fair_add(request->engine->fair, request->org,
+			    request->parts_len, now);
+	return false;
 }
--- a/packages/forward/fw-call.c
+++ b/packages/forward/fw-call.c
@@ -24,6 +24,7 @@
 	call->queue_rounds = fl_queue_rounds(upstream, now);
 	part->hedge_at = now + fw_hedge_delay(call, now);
 	fl_call_sent(engine->fleet, upstream, now);
+	fw_version_chosen(call);
 	met_add(engine->metrics, MET_SUB_REQUESTS, 1);
 	engine->ops->send(engine->ctx, call);
 }
@@ -41,6 +42,7 @@
 	struct fw_request *request = call->part->request;
 
 	call->sent_at = now;
+	fw_version_sent(call);
 	if (call->cause == FW_FIRST)
 		bud_count_request(call->part->service->data, now);
 	return request->deadline - now;
@@ -59,6 +61,7 @@
 	call->part->calls_running--;
 	request->may_have_run |= call->sent_at != 0;
 	met_add(engine->metrics, MET_SUB_CANCELLED, 1);
+	fw_version_answered(call, now, false);
 	if (!call->sent_at && now - call->started_at > UNREACHABLE_AFTER)
 		fl_call_unreachable(call->upstream, now);
 	else
--- a/packages/forward/fw-done.c
+++ b/packages/forward/fw-done.c
@@ -23,6 +23,8 @@
 	switch (outcome) {
 	case FW_ANSWERED:
 		fw_clear_suspicion(request, now);
+		fw_version_answered(call, now,
+				    !answer->success && answer->status >= 500);
 		if (!answer->success && answer->status >= 500) {
 			fl_call_failed(upstream, now);
 			return;
@@ -48,10 +50,12 @@
 		fl_call_misdirected(request->engine->fleet, upstream, now);
 		return;
 	case FW_UNUSABLE:
+		fw_version_answered(call, now, true);
 		/* The upstream still sends, so the request did not crash it. */
 		fl_call_failed(upstream, now);
 		return;
 	case FW_LOST:
+		fw_version_answered(call, now, true);
 		fl_call_failed(upstream, now);
 		fw_record_lost_run(call, now);
 		return;
--- a/packages/forward/fw-engine.c
+++ b/packages/forward/fw-engine.c
@@ -1,5 +1,7 @@
 #include "forward/fw-internal.h"
 
+#include "forward/fw-fair.h"
+
 #include <stdarg.h>
 #include <stdio.h>
 
@@ -40,11 +42,13 @@
 	engine->metrics = metrics;
 	engine->route_stats =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	engine->fair = fw_fair_new();
 }
 
 void fw_engine_clear(struct fw_engine *engine)
 {
 	g_hash_table_destroy(engine->route_stats);
+	fw_fair_free(engine->fair);
 }
 
 struct fw_route_stats *fw_route_stats(struct fw_engine *engine,
--- a/packages/forward/fw-internal.h
+++ b/packages/forward/fw-internal.h
@@ -9,8 +9,9 @@
  *	Calls between the files go in one direction: fw-request.c and fw-done.c
  *	take input and use fw-admit.c (whether a request is accepted),
  *	fw-suspect.c (requests that crash upstreams), fw-part.c (retries and
- *	hedges) and fw-settle.c (the answer). Those use fw-call.c, and all use
- *	fw-engine.c.
+ *	hedges) and fw-settle.c (the answer). Those use fw-call.c and
+ *	fw-version.c (roll-outs), and all use fw-engine.c. fw-explain.c asks
+ *them what they would do.
  */
 
 #include "forward/fw.h"
@@ -31,6 +32,27 @@
 void fw_call_cancel(struct fw_call *call, gb_time now);
 void fw_part_cancel_calls(struct fw_part *part, gb_time now);
 
+/* Parts that an answer needs. */
+uint32_t fw_parts_needed(const struct fw_request *request);
+
+/* Chooses an upstream for each part; returns the number that have one. */
+uint32_t fw_choose_upstreams(struct fw_request *request,
+			     struct fl_upstream **chosen, gb_time now,
+			     gb_time *wait);
+
+/* Tells whether the part should go to the target version of a roll-out. */
+bool fw_prefers_target(const struct fw_part *part, gb_time now);
+
+/* Chooses an upstream of the version that the roll-out of the service wants. */
+struct fl_upstream *fw_pick_version(const struct fw_part *part,
+				    const struct fl_pick_options *options,
+				    gb_time now, gb_time *wait);
+
+/* Count a call for the roll-out of its service, if there is one. */
+void fw_version_chosen(const struct fw_call *call);
+void fw_version_sent(const struct fw_call *call);
+void fw_version_answered(const struct fw_call *call, gb_time now, bool failed);
+
 /* Tells whether the request is quarantined for crashing its upstreams. */
 bool fw_is_quarantined(const struct fw_request *request, gb_time now);
 
@@ -42,6 +64,20 @@
 /* Tells whether the route is in overload, or may be about to enter it. */
 bool fw_is_congested(const struct fw_request *request);
 
+/* What admission goes by. */
+struct fw_admission_view {
+	gb_time delay; /* expected, over the median latency */
+	gb_time limit; /* in overload */
+	bool overload;
+	bool yields; /* its organisation uses more than its share */
+	bool refused;
+};
+
+/* Returns what admission would say, and changes nothing. */
+void fw_view_admission(const struct fw_request *request,
+		       struct fl_upstream *const *chosen, gb_time now,
+		       struct fw_admission_view *view);
+
 /*
  * Tells whether to refuse the request because the upstreams chosen for its
  * parts are overloaded; *delay is set to how much longer than the median
--- a/packages/forward/fw-part.c
+++ b/packages/forward/fw-part.c
@@ -52,8 +52,7 @@
 
 	for (uint32_t i = 0; i < part->calls_len; i++)
 		tried[i] = part->calls[i].upstream;
-	return fl_pick_upstream(part->request->engine->fleet, part->service,
-				&need, now, wait);
+	return fw_pick_version(part, &need, now, wait);
 }
 
 /* Tells whether all calls of the part to the upstream ended unanswered. */
@@ -92,14 +91,13 @@
 			return NULL;
 		excluded[need.skip_len++] = all->pdata[i];
 	}
-	return fl_pick_upstream(part->request->engine->fleet, part->service,
-				&need, now, wait);
+	return fw_pick_version(part, &need, now, wait);
 }
 
 struct fl_upstream *fw_choose_upstream(struct fw_part *part, bool healthy_only,
 				       gb_time now, gb_time *wait)
 {
-	uint32_t attempts_max = MAX(part->request->route->attempts_max, 1);
+	uint32_t attempts_max = MAX(part->request->attempts_max, 1);
 
 	*wait = GB_NEVER;
 	if (count_upstreams_reached(part) >= attempts_max)
@@ -136,7 +134,7 @@
 {
 	const struct fl_fleet *fleet = part->request->engine->fleet;
 	bool new_allowed = count_upstreams_reached(part) <
-			   MAX(part->request->route->attempts_max, 1);
+			   MAX(part->request->attempts_max, 1);
 	GPtrArray *all = part->service->upstreams;
 
 	for (guint i = 0; i < all->len; i++) {
--- a/packages/forward/fw-request.c
+++ b/packages/forward/fw-request.c
@@ -6,8 +6,8 @@
 /* Least share of the target latency for which a fan-out waits for all parts. */
 #define TARGET_SHARE_MIN 0.6
 
-static gb_time deadline_of(const struct rt_route *route,
-			   const struct fw_request_params *params)
+gb_time fw_deadline_of(const struct rt_route *route,
+		       const struct fw_request_params *params)
 {
 	gb_time timeout = route->timeout ? route->timeout : GB_NEVER / 2;
 
@@ -15,7 +15,8 @@
 	if (params->timeout)
 		timeout = MIN(timeout,
 			      MAX(params->timeout - params->rtt - REPLY_MARGIN,
-				  params->timeout / 2));
+				  params->timeout / 2) -
+				      params->unread_max);
 	return params->received_at + timeout;
 }
 
@@ -51,19 +52,26 @@
 	request->engine = engine;
 	request->table = rt_table_ref(table);
 	request->route = route;
+	request->org = params->org;
+	request->attempts_max = params->attempts_max ? params->attempts_max
+						     : route->attempts_max;
+	request->is_repeat = params->is_repeat;
+	request->may_have_run = params->is_repeat;
 	request->stats = route->data;
 	request->id = params->id;
 	request->fingerprint = params->fingerprint;
 	request->data = params->data;
 	request->received_at = params->received_at;
-	request->deadline = deadline_of(route, params);
+	request->deadline = fw_deadline_of(route, params);
 	request->soft_deadline = route->target_latency
 					 ? soft_deadline_of(route, params)
 					 : request->deadline;
 	request->parts_len = route->fanout ? route->targets_len : 1;
 	request->parts = g_new0(struct fw_part, request->parts_len);
 	if (!route->fanout) {
-		init_part(&request->parts[0], request, rt_choose_target(route));
+		init_part(&request->parts[0], request,
+			  params->is_explained ? rt_next_target(route)
+					       : rt_choose_target(route));
 		return request;
 	}
 	for (uint32_t i = 0; i < request->parts_len; i++)
@@ -71,10 +79,14 @@
 	return request;
 }
 
-/* Chooses an upstream for each part; returns the number that have one. */
-static uint32_t choose_upstreams(struct fw_request *request,
-				 struct fl_upstream **chosen, gb_time now,
-				 gb_time *wait)
+uint32_t fw_parts_needed(const struct fw_request *request)
+{
+	return request->route->fanout ? rt_parts_min(request->route) : 1;
+}
+
+uint32_t fw_choose_upstreams(struct fw_request *request,
+			     struct fl_upstream **chosen, gb_time now,
+			     gb_time *wait)
 {
 	uint32_t found = 0;
 
@@ -90,16 +102,23 @@
 	return found;
 }
 
+/* Another VM may have sent the parts of a repeat before. */
+static bool may_send(struct fw_part *part, gb_time now)
+{
+	return !part->request->is_repeat ||
+	       bud_take_repeat(part->service->data,
+			       &part->request->engine->budget, now);
+}
+
 /* Sends each part that has an upstream, or refuses the request. */
 static void send_parts(struct fw_request *request, gb_time now)
 {
 	struct fl_upstream **chosen =
 		g_new(struct fl_upstream *, request->parts_len);
-	uint32_t parts_needed =
-		request->route->fanout ? rt_parts_min(request->route) : 1;
+	uint32_t parts_needed = fw_parts_needed(request);
 	gb_time wait;
 
-	if (choose_upstreams(request, chosen, now, &wait) < parts_needed) {
+	if (fw_choose_upstreams(request, chosen, now, &wait) < parts_needed) {
 		/* No answer is possible, so no part is sent or held. */
 		fw_fail(request, FW_NO_UPSTREAM, wait, now);
 		goto out;
@@ -109,8 +128,9 @@
 		goto out;
 	}
 	for (uint32_t i = 0; i < request->parts_len; i++) {
-		if (chosen[i])
-			fw_call_start(&request->parts[i], chosen[i], FW_FIRST,
+		if (chosen[i] && may_send(&request->parts[i], now))
+			fw_call_start(&request->parts[i], chosen[i],
+				      request->is_repeat ? FW_RETRY : FW_FIRST,
 				      now);
 		else
 			fw_part_set_missing(&request->parts[i]);
@@ -122,7 +142,9 @@
 
 void fw_request_start(struct fw_request *request, gb_time now)
 {
-	if (fw_is_quarantined(request, now))
+	if (request->deadline <= now)
+		fw_fail(request, FW_TIMEOUT, GB_NEVER, now);
+	else if (fw_is_quarantined(request, now))
 		fw_fail(request, FW_QUARANTINED, GB_NEVER, now);
 	else
 		send_parts(request, now);
--- a/packages/forward/fw.h
+++ b/packages/forward/fw.h
@@ -23,6 +23,9 @@
  *	if enough parts are answered by then; it fails as soon as too few parts
  *	can still be answered.
  *
+ *	While an operator moves a service to another version, its roll-out
+ *	decides which version a call goes to, and learns how the call ended.
+ *
  *	A request of which several runs in a row were lost, without any answer,
  *	is assumed to crash its upstreams: it is quarantined on all VMs.
  *
@@ -36,6 +39,7 @@
 #include "event/ev.h"
 #include "fleet/fl.h"
 #include "metric/met.h"
+#include "rollout/ro.h"
 #include "route/rt.h"
 #include "suspect/sus.h"
 
@@ -175,14 +179,17 @@
 	struct gb_rng *rng;
 	struct met_registry *metrics;
 	struct bud_limits budget;
+	struct ro_exposure_limits exposure; /* of versions being rolled out */
 	struct sus_table *suspects; /* NULL: no quarantine */
 	GHashTable *route_stats; /* route name to struct fw_route_stats */
+	struct fw_fair *fair; /* use of the upstreams by organisations */
 };
 
 struct fw_request {
 	struct fw_engine *engine;
 	struct rt_table *table; /* configuration at the start of the request */
 	struct rt_route *route;
+	const struct og_org *org; /* of the table; NULL if it has none */
 	struct fw_route_stats *stats;
 	struct gb_str id;
 	uint64_t fingerprint;
@@ -193,7 +200,9 @@
 	uint32_t parts_len;
 	uint32_t parts_answered;
 	uint32_t parts_missing;
+	uint32_t attempts_max; /* upstreams tried per part */
 	uint32_t sends; /* calls started, of all parts */
+	bool is_repeat; /* each part takes from the retry budget */
 	/* A call was answered, lost, or cancelled after it was sent. */
 	bool may_have_run;
 	bool ended;
@@ -216,12 +225,22 @@
 struct fw_request_params {
 	struct gb_str id;
 	uint64_t fingerprint; /* equal for repeats of a request */
+	const struct og_org *org; /* of the table, or NULL */
 	gb_time received_at;
 	gb_time timeout; /* how long the caller waits; 0 if not given */
 	gb_time rtt; /* network round trip to the caller */
+	gb_time unread_max; /* it may have waited for so long until received_at
+			     */
+	bool is_repeat; /* another VM may have sent its parts */
+	bool is_explained; /* it is for fw_explain(), and never started */
+	uint32_t attempts_max; /* upstreams tried per part; 0: the route's */
 	void *data;
 };
 
+/* Returns the time by which a request is answered. */
+gb_time fw_deadline_of(const struct rt_route *route,
+		       const struct fw_request_params *params);
+
 struct fw_request *fw_request_new(struct fw_engine *engine,
 				  struct rt_table *table,
 				  struct rt_route *route,
@@ -234,6 +253,14 @@
  */
 void fw_request_start(struct fw_request *request, gb_time now);
 
+/*
+ * Appends what a request that has not been started would meet now, as lines of
+ * words and "key=value": whether it is admitted, and for each part the order of
+ * its upstreams, at most that many. Nothing is sent or counted.
+ */
+void fw_explain(struct fw_request *request, uint32_t upstreams_max, gb_time now,
+		struct gb_buf *out);
+
 /*
  * Tells whether the call may be sent now. While it waited for a connection its
  * upstream may have left or asked for a pause.
--- a/packages/forward/tests/forward-test.c
+++ b/packages/forward/tests/forward-test.c
@@ -312,12 +312,13 @@
 }
 
 static void start_request(struct ctx *ctx, struct gb_str id, struct gb_str path,
-			  gb_time timeout)
+			  gb_time timeout, gb_time unread_max)
 {
 	uint32_t i = ctx->requests++;
 	struct fw_request_params params = { .fingerprint = gb_hash(path, 0),
 					    .received_at = ctx->now,
-					    .timeout = timeout };
+					    .timeout = timeout,
+					    .unread_max = unread_max };
 
 	g_assert(i < REQUESTS_MAX && id.len < sizeof(ctx->id[i]));
 	memcpy(ctx->id[i], id.ptr, id.len);
@@ -329,7 +330,18 @@
 	free_ended(ctx, false);
 }
 
-/* ask ID PATH deadline= unsent=1: calls are sent at once unless unsent is 1 */
+static void print_time_left(gb_time left, const struct scr_args *args,
+			    struct gb_buf *out)
+{
+	if (scr_int(args, GB_STR("unread"), 0))
+		gb_buf_addf(out, "  upstream has %lld ms\n",
+			    (long long)(left / GB_MSEC));
+}
+
+/*
+ * ask ID PATH deadline= unread= unsent=1: calls are sent at once unless unsent
+ * is 1; with unread, prints the time that their upstreams are given
+ */
 static void cmd_ask(void *data, const struct scr_args *args, struct gb_buf *out)
 {
 	struct ctx *ctx = data;
@@ -337,10 +349,12 @@
 
 	ctx->out = out;
 	start_request(ctx, scr_word(args, 0), scr_word(args, 1),
-		      scr_int(args, GB_STR("deadline"), 0) * GB_MSEC);
+		      scr_int(args, GB_STR("deadline"), 0) * GB_MSEC,
+		      scr_int(args, GB_STR("unread"), 0) * GB_MSEC);
 	for (uint32_t i = first; i < ctx->calls; i++)
 		if (ctx->call[i] && !scr_int(args, GB_STR("unsent"), 0))
-			fw_call_sent(ctx->call[i], ctx->now);
+			print_time_left(fw_call_sent(ctx->call[i], ctx->now),
+					args, out);
 }
 
 static void end_call(struct ctx *ctx, uint32_t number, enum fw_outcome outcome,
@@ -508,6 +522,22 @@
 	sus_merge(ctx->engine.suspects, ctx->now, &record);
 }
 
+/* explain PATH: what a request would meet now, at most 3 upstreams a part */
+static void cmd_explain(void *data, const struct scr_args *args,
+			struct gb_buf *out)
+{
+	struct ctx *ctx = data;
+	const struct fw_request_params params = { .received_at = ctx->now,
+						  .is_explained = true };
+	struct fw_request *request = fw_request_new(
+		&ctx->engine, ctx->table,
+		rt_find_route(ctx->table, GB_STR("h"), scr_word(args, 0)),
+		&params);
+
+	fw_explain(request, 3, ctx->now, out);
+	fw_request_free(request);
+}
+
 /* purge: frees upstreams that have left; prints how many are known */
 static void cmd_purge(void *data, const struct scr_args *args,
 		      struct gb_buf *out)
@@ -563,6 +593,7 @@
 {
 	static const struct scr_command commands[] = {
 		{ GB_STR_INIT("budget"), cmd_budget },
+		{ GB_STR_INIT("explain"), cmd_explain },
 		{ GB_STR_INIT("upstream"), cmd_upstream },
 		{ GB_STR_INIT("shards"), cmd_shards },
 		{ GB_STR_INIT("route"), cmd_route },
--- a/packages/forward/tests/load-simulation.h
+++ b/packages/forward/tests/load-simulation.h
@@ -73,11 +73,14 @@
 	bool lost;
 };
 
-/* The requests to one route, and how many had which result. */
+/* Requests to one route, of one organisation, and how many had which result. */
 struct traffic {
 	char name[16];
+	char route[16];
 	double work; /* mean time of a run in us */
 	double rate; /* requests per second */
+	double factor; /* on the rate, besides that of all traffic */
+	struct og_org org; /* without a name: of no organisation */
 	uint32_t asked, in_target, late, refused, failed;
 	gb_time slowest_refusal; /* time until the caller had it */
 };
@@ -425,8 +428,10 @@
 
 	query->vm = vm;
 	snprintf(query->id, sizeof(query->id), "q%u", sim->queries++);
-	snprintf(path, sizeof(path), "/%s/", query->traffic->name);
+	snprintf(path, sizeof(path), "/%s/", query->traffic->route);
 	params.id = gb_str_from_c(query->id);
+	if (query->traffic->org.name.len)
+		params.org = &query->traffic->org;
 	query->request = fw_request_new(
 		&vm->engine, vm->table,
 		rt_find_route(vm->table, GB_STR("h"), gb_str_from_c(path)),
@@ -438,7 +443,7 @@
 static void generate_query(struct simulation *sim, void *data)
 {
 	struct traffic *traffic = data;
-	double rate = traffic->rate * sim->rate_factor;
+	double rate = traffic->rate * traffic->factor * sim->rate_factor;
 	struct query *query;
 
 	if (sim->now >= sim->arrivals_end)
--- a/packages/forward/tests/load-test.c
+++ b/packages/forward/tests/load-test.c
@@ -166,13 +166,33 @@
 	}
 }
 
-/* traffic NAME shards= share= work= rate= aim= priority= */
+/* The organisation has the name of its traffic. */
+static void set_organisation(struct traffic *traffic,
+			     const struct scr_args *args)
+{
+	struct gb_str name = scr_str(args, GB_STR("org"), GB_STR(""));
+
+	if (!name.len)
+		return;
+	traffic->org = (struct og_org){
+		.name = gb_str_from_c(traffic->name),
+		.id = gb_hash(name, 0),
+		.priority = scr_int(args, GB_STR("priority"), 0),
+		.rate = scr_double(args, GB_STR("limit"), 0),
+	};
+}
+
+/*
+ * traffic NAME shards= share= work= rate= aim= priority= org= limit=: adds a
+ * route; with route=, the requests go to one that other traffic has
+ */
 static void cmd_traffic(void *data, const struct scr_args *args,
 			struct gb_buf *out)
 {
 	struct simulation *sim = data;
 	struct traffic *traffic = &sim->traffic[sim->traffic_len++];
 	struct gb_str name = scr_word(args, 0);
+	struct gb_str path = scr_str(args, GB_STR("route"), name);
 	char prefix[20];
 	struct rt_route route = {
 		.name = name,
@@ -191,10 +211,15 @@
 	g_assert(sim->traffic_len <= TRAFFIC_MAX);
 	snprintf(traffic->name, sizeof(traffic->name), "%.*s", (int)name.len,
 		 name.ptr);
-	snprintf(prefix, sizeof(prefix), "/%s/", traffic->name);
+	snprintf(traffic->route, sizeof(traffic->route), "%.*s", (int)path.len,
+		 path.ptr);
+	snprintf(prefix, sizeof(prefix), "/%s/", traffic->route);
 	route.prefix = gb_str_from_c(prefix);
 	traffic->work = scr_double(args, GB_STR("work"), 10) * GB_MSEC;
 	traffic->rate = scr_double(args, GB_STR("rate"), 10);
+	set_organisation(traffic, args);
+	if (!gb_str_eq(path, name))
+		return;
 	for (uint32_t i = 0; i < sim->vms; i++)
 		add_route(&sim->vm[i], &route,
 			  scr_int(args, GB_STR("shards"), 1));
@@ -211,8 +236,8 @@
 }
 
 /*
- * load for= times=: resets the counts and generates traffic for some seconds,
- * at a multiple of its rate
+ * load for= times= TRAFFIC=: resets the counts and generates traffic for some
+ * seconds, at a multiple of its rate, and of that of one traffic
  */
 static void cmd_load(void *data, const struct scr_args *args,
 		     struct gb_buf *out)
@@ -225,6 +250,8 @@
 		sim->now + scr_double(args, GB_STR("for"), 1) * GB_SEC;
 	for (uint32_t i = 0; i < sim->traffic_len; i++) {
 		reset_counts(&sim->traffic[i]);
+		sim->traffic[i].factor = scr_double(
+			args, gb_str_from_c(sim->traffic[i].name), 1);
 		generate_query(sim, &sim->traffic[i]);
 	}
 	/* All requests are answered before the next load starts. */
--- a/packages/front/fr-caller.c
+++ b/packages/front/fr-caller.c
@@ -1,4 +1,5 @@
-#include "front/fr-internal.h"
+#include "front/fr-delegate.h"
+#include "front/fr-organisation.h"
 
 #include <string.h>
 
@@ -17,16 +18,28 @@
 
 static void on_timer(uv_timer_t *timer);
 
-/* Replies without forwarding the request. */
-static void reply_locally(struct fr *fr, struct ht_exchange *exchange,
-			  const struct fr_request_info *info, int status)
+void fr_query_refuse(struct fr *fr, struct ht_exchange *exchange,
+		     const struct fr_request_info *info, int status,
+		     gb_time retry_after)
 {
 	struct gb_buf fields = GB_BUF_INIT;
 	const struct fw_reply reply = {
 		.reason = FW_NO_UPSTREAM,
 		.status = status,
-		.retry_after = status == 503 ? RETRY_AFTER_UNREADY : 0,
+		.retry_after = retry_after,
 	};
+
+	met_add(&fr->metrics, MET_QUERIES_REFUSED, 1);
+	fr->platform->write_reply(&reply, info->id, &fields);
+	ht_reply(exchange, &(struct ht_reply){ .status = status,
+					       .fields = gb_buf_str(&fields) });
+	gb_buf_free(&fields);
+}
+
+/* Refuses a request that no route, or no configuration, is known for. */
+static void refuse_unrouted(struct fr *fr, struct ht_exchange *exchange,
+			    const struct fr_request_info *info, int status)
+{
 	const struct ev_event event = {
 		.code = EV_FORWARD_UNROUTED,
 		.request = info->id,
@@ -37,11 +50,8 @@
 	};
 
 	fr_log_event(fr, &event);
-	met_add(&fr->metrics, MET_QUERIES_REFUSED, 1);
-	fr->platform->write_reply(&reply, info->id, &fields);
-	ht_reply(exchange, &(struct ht_reply){ .status = status,
-					       .fields = gb_buf_str(&fields) });
-	gb_buf_free(&fields);
+	fr_query_refuse(fr, exchange, info, status,
+			status == 503 ? RETRY_AFTER_UNREADY : 0);
 }
 
 static void on_timer_closed(uv_handle_t *handle)
@@ -55,6 +65,8 @@
 static void free_query(struct fr_query *query)
 {
 	g_queue_unlink(&query->fr->queries, &query->link);
+	if (query->is_of_other)
+		query->fr->queries_of_others--;
 	fw_request_free(query->request);
 	ht_memory_hold(&query->holder, 0);
 	query->request = NULL;
@@ -97,21 +109,14 @@
 	       request->deadline > fr_stop_deadline(fr);
 }
 
-static void start_query(struct fr *fr, struct ht_exchange *exchange,
-			struct rt_route *route,
-			const struct fr_request_info *info)
+struct fr_query *fr_query_new(struct fr *fr, struct ht_exchange *exchange,
+			      struct rt_table *table, struct rt_route *route,
+			      const struct fw_request_params *params)
 {
 	struct fr_query *query = g_new0(struct fr_query, 1);
-	const struct fw_request_params forward = {
-		.id = info->id,
-		.fingerprint =
-			fr_request_fingerprint(&exchange->request, info->host),
-		.received_at = exchange->received_at,
-		.timeout = info->timeout,
-		.rtt = exchange->network_delay,
-		.data = query
-	};
+	struct fw_request_params forward = *params;
 
+	forward.data = query;
 	query->fr = fr;
 	query->exchange = exchange;
 	query->link.data = query;
@@ -122,41 +127,83 @@
 	uv_timer_init(fr->loop, &query->timer);
 	query->timer.data = query;
 	g_queue_push_tail_link(&fr->queries, &query->link);
-	met_add(&fr->metrics, MET_QUERIES, 1);
-	query->request =
-		fw_request_new(&fr->engine, fr->config.table, route, &forward);
-	if (may_outlast_process(fr, query->request))
+	query->request = fw_request_new(&fr->engine, table, route, &forward);
+	return query;
+}
+
+void fr_query_run(struct fr_query *query)
+{
+	if (may_outlast_process(query->fr, query->request))
 		fw_request_stop(query->request, ht_now());
 	else
 		fw_request_start(query->request, ht_now());
 	fr_query_free_or_rearm(query);
 }
 
+void fr_query_cancel(struct fr_query *query)
+{
+	query->exchange = NULL;
+	fw_request_cancel(query->request, ht_now());
+	free_query(query);
+}
+
+void fr_query_start(struct fr *fr, struct ht_exchange *exchange,
+		    struct rt_table *table, struct rt_route *route,
+		    const struct og_org *org,
+		    const struct fr_request_info *info)
+{
+	const struct fw_request_params params = {
+		.id = info->id,
+		.fingerprint =
+			fr_request_fingerprint(&exchange->request, info->host),
+		.org = org,
+		.received_at = exchange->received_at,
+		.timeout = info->timeout,
+		.rtt = exchange->network_delay,
+		.unread_max = exchange->unread_max,
+	};
+
+	met_add(&fr->metrics, MET_QUERIES, 1);
+	if (!fr_delegate(fr, exchange, table, route, &params))
+		fr_query_run(fr_query_new(fr, exchange, table, route, &params));
+}
+
 static void on_request(void *ctx, struct ht_exchange *exchange)
 {
 	struct fr *fr = ctx;
 	struct rt_route *route;
 	struct fr_request_info info;
+	struct fr_org_verdict verdict;
 
 	met_add(&fr->metrics, MET_HTTP_REQUESTS, 1);
 	fr->platform->read_request_info(&exchange->request, &info);
 	if (!fr->config.table) {
-		reply_locally(fr, exchange, &info, 503);
+		refuse_unrouted(fr, exchange, &info, 503);
 		return;
 	}
 	route = rt_find_route(fr->config.table, info.host,
 			      exchange->request.path);
 	if (!route) {
 		/* A newer version of the configuration may have the route. */
-		reply_locally(fr, exchange, &info,
-			      fr_routes_may_be_stale(fr) ? 503 : 404);
+		refuse_unrouted(fr, exchange, &info,
+				fr_routes_may_be_stale(fr) ? 503 : 404);
 		return;
 	}
 	if (!info.id.len) {
-		reply_locally(fr, exchange, &info, 400);
+		refuse_unrouted(fr, exchange, &info, 400);
 		return;
 	}
-	start_query(fr, exchange, route, &info);
+	verdict = fr_org_admit(fr, route, &info);
+	if (verdict.status) {
+		fr_query_refuse(fr, exchange, &info, verdict.status,
+				verdict.retry_after);
+		return;
+	}
+	if (verdict.asks)
+		fr_ask_start(fr, exchange, route, verdict.org, &info);
+	else
+		fr_query_start(fr, exchange, fr->config.table, route,
+			       verdict.org, &info);
 }
 
 static void on_disconnect(void *ctx, struct ht_exchange *exchange)
@@ -165,14 +212,17 @@
 	struct fr *fr = ctx;
 	struct ev_event event = { .code = EV_FORWARD_GONE };
 
-	if (!query)
+	if (!query) {
+		if (!fr_delegation_cancel(fr, exchange))
+			fr_ask_cancel(fr, exchange);
 		return;
+	}
 	event.request = query->request->id;
 	event.num2 = ht_now() - query->request->received_at;
 	fr_log_event(fr, &event);
-	query->exchange = NULL;
-	fw_request_cancel(query->request, ht_now());
-	free_query(query);
+	if (query->delegation)
+		fr_delegation_end(query->delegation);
+	fr_query_cancel(query);
 }
 
 static void on_bad_request(void *ctx, int status)
@@ -268,9 +318,22 @@
 	struct gb_buf fields = GB_BUF_INIT;
 	struct fr *fr = ctx;
 
-	count_reply(fr, request, reply);
 	log_reply(fr, request, reply);
+	if (query->delegation &&
+	    !fr_delegation_take_reply(query->delegation, reply)) {
+		query->exchange->data = NULL;
+		query->exchange = NULL;
+		return;
+	}
 	fr->platform->write_reply(reply, request->id, &fields);
+	if (query->is_of_other) {
+		fr_hop_mark_reply(&fields);
+	} else {
+		count_reply(fr, request, reply);
+		/* 503 promises that the request has not run. */
+		if (reply->status == 503 && !reply->answer)
+			fr_org_refund(fr, request->org);
+	}
 	query->exchange->data = NULL;
 	ht_reply(query->exchange,
 		 &(struct ht_reply){
@@ -314,6 +377,8 @@
 {
 	GList *next;
 
+	fr_ask_abort(fr);
+	fr_delegation_abort(fr);
 	for (GList *at = fr->queries.head; at; at = next) {
 		struct fr_query *query = at->data;
 
--- a/packages/front/fr-control.c
+++ b/packages/front/fr-control.c
@@ -1,8 +1,10 @@
-#include "front/fr-internal.h"
+#include "front/fr-delegate.h"
+#include "front/fr-organisation.h"
 
 bool fr_is_ready(const struct fr *fr)
 {
-	return fr->phase == FR_RUNNING && fr_is_synced(fr);
+	return fr->phase == FR_RUNNING && fr_is_synced(fr) &&
+	       fr_keys_are_fresh(fr);
 }
 
 static void reply_text(struct ht_exchange *exchange, int status,
@@ -46,7 +48,7 @@
 	gb_buf_addf(out, "vms_counted %u\n",
 		    mem_estimate_vms(fr->members, now));
 	gb_buf_addf(out, "queries_running %u\n", fr->queries.length);
-	for (int kind = 0; kind < FR_KINDS; kind++) {
+	for (int kind = 0; kind < fr->kinds; kind++) {
 		const struct dir_follower *f = &fr->followers[kind].state;
 
 		gb_buf_addf(out, "follower_%d revision=%lld failures=%u\n",
@@ -54,12 +56,27 @@
 	}
 }
 
+static void add_rollouts(struct fr *fr, struct gb_buf *out)
+{
+	fr_rollout_text(fr, out);
+	if (!out->len)
+		gb_buf_add(out, GB_STR("no roll-outs\n"));
+}
+
+static void add_metrics(struct fr *fr, struct gb_buf *out)
+{
+	met_text(&fr->metrics, out);
+	fr_org_metrics(fr, out);
+}
+
 static void on_control(void *ctx, struct ht_exchange *exchange)
 {
 	struct gb_buf out = GB_BUF_INIT;
 	struct fr_store_query query;
 	struct fr *fr = ctx;
 
+	if (fr_hop_serve(fr, exchange))
+		return;
 	if (fr->platform->read_store_query(exchange->request.path, &query)) {
 		fr_mirror_serve(fr, exchange, &query);
 		return;
@@ -68,20 +85,28 @@
 	met_set(&fr->metrics, MET_CONFIG_VERSION,
 		fr->config.table ? fr->config.table->version : 0);
 	if (gb_str_eq(exchange->request.path, GB_STR("/metrics")))
-		met_text(&fr->metrics, &out);
+		add_metrics(fr, &out);
 	else if (gb_str_eq(exchange->request.path, GB_STR("/status")))
 		add_status(fr, &out);
+	else if (gb_str_eq(exchange->request.path, GB_STR("/rollouts")))
+		add_rollouts(fr, &out);
+	else if (gb_str_eq(exchange->request.path, GB_STR("/organisations")))
+		fr_org_text(fr, &out);
+	else if (gb_str_eq(exchange->request.path, GB_STR("/explain")))
+		fr_explain(fr, gb_buf_str(&exchange->request.body), &out);
 	if (out.len)
 		reply_text(exchange, 200, gb_buf_str(&out));
 	else
-		reply_text(exchange, 404, GB_STR("try /metrics or /status\n"));
+		reply_text(exchange, 404,
+			   GB_STR("try /metrics, /status, /rollouts, "
+				  "/organisations or /explain\n"));
 	gb_buf_free(&out);
 }
 
 static void on_disconnect(void *ctx, struct ht_exchange *exchange)
 {
-	(void)ctx;
-	fr_mirror_on_disconnect(exchange);
+	if (!fr_hop_cancel(ctx, exchange))
+		fr_mirror_on_disconnect(exchange);
 }
 
 static void on_bad_request(void *ctx, int status)
--- a/packages/front/fr-directory.c
+++ b/packages/front/fr-directory.c
@@ -1,4 +1,4 @@
-#include "front/fr-internal.h"
+#include "front/fr-organisation.h"
 
 /*
  * A follower that has been failing for longer may have missed changes that are
@@ -22,6 +22,8 @@
 		fl_list_begin(follower->fr->fleet);
 	if (follower->kind == FR_EXCLUSIONS)
 		fl_exclusions_begin(follower->fr->fleet);
+	if (follower->kind == FR_ROLLOUTS)
+		fr_rollout_list_begin(follower->fr);
 }
 
 static void end_list(struct fr_follower *follower, const struct fr_page *page)
@@ -36,12 +38,24 @@
 	if (page->more)
 		return;
 	if (follower->kind == FR_UPSTREAMS)
-		fl_list_end(follower->fr->fleet, ht_now());
+		fl_list_end(follower->fr->fleet, ht_now(),
+			    dir_unseen_time(&follower->state, ht_now()));
 	if (follower->kind == FR_EXCLUSIONS)
 		fl_exclusions_end(follower->fr->fleet);
+	/* Orders that a copy lacks are written again by the operator. */
+	if (follower->kind == FR_ROLLOUTS && !follower->state.restored)
+		fr_rollout_list_end(follower->fr);
 	fr_log_event(follower->fr, &event);
 }
 
+/* The age of the routes is that of the proof, which holds for the keys. */
+static void take_source_age(struct fr_follower *follower,
+			    const struct fr_page *page)
+{
+	if (follower->kind != FR_ROUTES && page->peer_age > 0)
+		dir_set_source_age(&follower->state, page->peer_age);
+}
+
 static int apply_list(struct fr_follower *follower)
 {
 	struct fr_page page = { .min_revision = follower->state.revision };
@@ -54,6 +68,8 @@
 		gb_str_free(&page.last_name);
 		return -1;
 	}
+	fr_proof_answered(follower, &page);
+	take_source_age(follower, &page);
 	end_list(follower, &page);
 	dir_list_done(&follower->state, ht_now(), page.revision, page.more,
 		      page.last_name);
@@ -77,6 +93,8 @@
 		dir_history_lost(&follower->state, now);
 		return -1;
 	}
+	fr_proof_answered(follower, &page);
+	take_source_age(follower, &page);
 	fr_silence_watched(follower, &page);
 	dir_watch_done(&follower->state, now, page.revision, page.objects_len);
 	mir_commit_changes(follower->mirror, follower->state.revision);
@@ -136,7 +154,7 @@
 {
 	gb_time now = ht_now();
 
-	for (int kind = 0; kind < FR_KINDS; kind++) {
+	for (int kind = 0; kind < fr->kinds; kind++) {
 		struct fr_follower *follower = &fr->followers[kind];
 
 		if (follower->state.synced || !follower->call_running ||
@@ -154,9 +172,9 @@
  */
 static void handle_recovery(const struct fr_follower *live)
 {
-	if (live->kind != FR_LIVENESS_KIND || !live->state.synced)
+	if (live->kind != fr_liveness_kind(live->fr) || !live->state.synced)
 		return;
-	for (int kind = 0; kind < FR_KINDS; kind++) {
+	for (int kind = 0; kind < live->fr->kinds; kind++) {
 		struct fr_follower *follower = &live->fr->followers[kind];
 
 		if (!follower->state.failures)
@@ -167,13 +185,42 @@
 	}
 }
 
+static void log_bad_era(struct fr_follower *follower)
+{
+	const struct ev_event event = {
+		.code = EV_STORE_ERA_BAD,
+		.num1 = !follower->state.from_peer,
+		.detail = follower->fr->platform->kind_names[follower->kind],
+	};
+
+	if (!follower->state.failures)
+		fr_log_event(follower->fr, &event);
+}
+
+/* Checks the era of an answer that may change what is known. */
+static enum dir_era_verdict check_era(struct fr_follower *follower,
+				      bool answered)
+{
+	if (!answered ||
+	    (follower->http_status != 200 && follower->http_status != 410))
+		return DIR_ERA_CURRENT;
+	if (follower->is_era_bad) {
+		log_bad_era(follower);
+		return DIR_ERA_PAST;
+	}
+	return dir_take_era(&follower->state, ht_now(), follower->answer_era);
+}
+
 /* Handles the end of a step and schedules the next one. */
 static void finish_step(struct fr_follower *follower, bool answered)
 {
 	gb_time since = follower->state.failing_since;
 	uint32_t failures = follower->state.failures;
-	bool is_history_lost = answered && follower->http_status == 410;
-	bool is_applied = answered && follower->http_status == 200 &&
+	enum dir_era_verdict era = check_era(follower, answered);
+	bool is_usable = answered && era == DIR_ERA_CURRENT;
+	bool is_history_lost = era == DIR_ERA_CHANGED ||
+			       (is_usable && follower->http_status == 410);
+	bool is_applied = is_usable && follower->http_status == 200 &&
 			  !apply_response(follower);
 
 	fr_record_source_result(follower, answered,
@@ -191,6 +238,7 @@
 	}
 	if (failures && !follower->state.failures)
 		handle_recovery(follower);
+	fr_era_seen(follower);
 	gb_buf_free(&follower->call.body);
 	mem_set_synced(follower->fr->members, fr_is_synced(follower->fr));
 	fr_schedule_step(follower, follower->state.due_at);
@@ -206,9 +254,7 @@
 	if (follower->state.step == DIR_LIST) {
 		met_add(&follower->fr->metrics, MET_STORE_READS, 1);
 		platform->write_list(follower->kind, follower->state.cursor,
-				     follower->state.from_peer &&
-					     !follower->state.synced,
-				     out);
+				     dir_allows_stale(&follower->state), out);
 	} else {
 		met_add(&follower->fr->metrics, MET_STORE_WATCHES, 1);
 		platform->write_watch(follower->kind, follower->state.revision,
@@ -225,6 +271,8 @@
 				       offsetof(struct fr_follower, call));
 
 	follower->http_status = response->status;
+	follower->is_era_bad = follower->fr->platform->read_era(
+				       response, &follower->answer_era) < 0;
 	return HT_ACCEPT;
 }
 
@@ -261,6 +309,7 @@
 	}
 	follower->call_running = true;
 	follower->requested_at = ht_now();
+	follower->requested_at_boot = fr_boot_now();
 	source = fr_choose_source(follower, ht_now());
 	fr_silence_source_chosen(follower);
 	fr_schedule_step(follower,
@@ -291,7 +340,7 @@
 {
 	if (fr_is_synced(fr) || !fr->settings.control_address.len)
 		return;
-	for (int kind = 0; kind < FR_KINDS; kind++)
+	for (int kind = 0; kind < fr->kinds; kind++)
 		switch_to_member(&fr->followers[kind], fr_get_peer(fr, member));
 }
 
@@ -301,16 +350,19 @@
 
 	if (ht_parse_address(fr->settings.store_address, &addr))
 		return UV_EINVAL;
+	/* A changed setting takes effect when the process starts again. */
+	fr->kinds = fr->settings.exposure.share > 0 ? FR_KINDS : FR_ROLLOUTS;
 	fr_update_timing(fr);
 	fr_silence_init(fr);
 	fr->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	for (int kind = 0; kind < FR_KINDS; kind++) {
+	for (int kind = 0; kind < fr->kinds; kind++) {
 		struct fr_follower *follower = &fr->followers[kind];
 
 		follower->fr = fr;
 		follower->kind = kind;
-		dir_init(&follower->state, &fr->timing, kind);
+		dir_init(&follower->state, &fr->timing,
+			 kind % DIR_TIMEOUT_PHASES);
 		follower->mirror = mir_new();
 		g_queue_init(&follower->long_polls);
 		uv_timer_init(fr->loop, &follower->timer);
@@ -323,7 +375,7 @@
 
 bool fr_is_synced(const struct fr *fr)
 {
-	for (int kind = 0; kind < FR_KINDS; kind++)
+	for (int kind = 0; kind < fr->kinds; kind++)
 		if (!fr->followers[kind].state.synced)
 			return false;
 	return fr->config.table != NULL;
--- a/packages/front/fr-internal.h
+++ b/packages/front/fr-internal.h
@@ -17,15 +17,16 @@
 #include "directory/dir.h"
 #include "event/ev-log.h"
 #include "front/fr.h"
+#include "helper/hp.h"
 #include "member/mem.h"
+#include "msg/msg.h"
 #include "suspect/sus-keep.h"
 
 /*
- * The watches of this kind show whether the store can be reached, and whether
- * those of the others have fallen silent (fr-silence.c). Meanwhile the others
- * wait for longer, which saves calls to the store.
+ * The watches of the liveness kind show whether the store can be reached, and
+ * whether those of the others have fallen silent (fr-silence.c). Meanwhile the
+ * others wait for longer, which saves calls to the store.
  */
-#define FR_LIVENESS_KIND FR_UPSTREAMS
 #define FR_WATCH_WAIT_QUIET (10 * GB_SEC)
 
 enum fr_phase {
@@ -39,9 +40,12 @@
 /* Another VM, as a source of stored objects. */
 struct fr_peer {
 	struct ht_target *target;
+	struct ht_target *query_target; /* for queries handed over; or NULL */
 	gb_time avoid_until; /* end of the back-off after a failure */
 };
 
+struct fr_delegation;
+
 /* State of following one kind of objects. */
 struct fr_follower {
 	struct fr *fr;
@@ -54,12 +58,16 @@
 	struct fr_peer *hinted_peer;
 	struct fr_peer *last_peer; /* that answered; or NULL */
 	gb_time requested_at;
+	gb_time requested_at_boot; /* the same, by fr_boot_now() */
+	bool had_changes; /* the last answer to a watch */
 	bool peer_unresponsive; /* the last VM asked did not answer in time */
 	/* until then a VM is preferred, after a failure of the store */
 	gb_time avoid_store_until;
 	struct ht_call call;
 	bool call_running;
 	int http_status;
+	int64_t answer_era; /* of the last answer */
+	bool is_era_bad; /* that answer has an era that cannot be read */
 	/* fires when the step is due, or when its call times out */
 	uv_timer_t timer;
 	uv_timer_cb on_timer;
@@ -79,6 +87,32 @@
 	uint32_t records_new; /* of the list that is being read */
 };
 
+/* A roll-out, and what the store has of it. */
+struct fr_rollout {
+	struct ro_rollout *rollout;
+	int64_t era; /* of the store that had the order */
+	int64_t revision; /* of the order's object */
+	bool is_listed; /* in the list that is being read */
+	bool has_status; /* in the store */
+	enum ro_step stored_step;
+	/* since when another step is to be stored; GB_NEVER if none is */
+	gb_time to_store_since;
+	gb_time write_at; /* the next write, not before */
+};
+
+/* The roll-outs, and the calls to the store for their status. */
+struct fr_rollouts {
+	GHashTable *by_service; /* name to struct fr_rollout */
+	uint64_t vm; /* identity of this process in reports */
+	struct ht_call call;
+	bool call_running;
+	struct gb_str written_service; /* owned; of the running call */
+	uint64_t written_order;
+	enum ro_step written_step;
+	int http_status;
+	gb_time started_at;
+};
+
 struct fr {
 	struct fr_settings settings;
 	const struct fr_platform *platform;
@@ -109,15 +143,29 @@
 	uv_check_t loop_check;
 	gb_time eviction_logged_at;
 	struct mem_table *members;
+	struct gb_str member_address; /* for datagrams; owned */
 	uv_udp_t member_socket;
 	gb_time suspects_asked_at;
 	struct fr_keep keep;
+	struct fr_rollouts rollouts;
+	struct dir_proof routes_proof; /* by fr_boot_now() */
+	bool keys_were_fresh;
+	struct og_limiter *limiter;
+	struct og_buckets *buckets;
+	uint64_t quota_vm; /* identity of this process in reports */
+	struct hp_table *helpers;
+	GQueue delegations; /* of struct fr_delegation */
+	uint32_t queries_of_others; /* gathered for other VMs */
+	GHashTable *asks; /* number to struct fr_ask */
+	uint64_t asks_made;
 	uint32_t ticks;
 	struct ht_target *store_target;
 	GHashTable *peers; /* control address of a VM to struct fr_peer */
 	struct fr_follower followers[FR_KINDS];
+	int kinds; /* number of kinds that are followed */
 	struct dir_bounds bounds; /* from which the waits are computed */
 	struct dir_timing timing; /* waits of the followers */
+	int64_t store_era; /* the latest of all followers; 0: none is known */
 	struct dir_audit audit; /* of the watches of the store */
 	uv_timer_t audit_timer;
 };
@@ -125,6 +173,8 @@
 /* A caller's request in flight. */
 struct fr_query {
 	struct fr *fr;
+	struct fr_delegation *delegation; /* to a VM that is late; or NULL */
+	bool is_of_other; /* gathered for another VM */
 	GList link; /* in fr->queries */
 	struct ht_exchange *exchange;
 	struct fw_request *request;
@@ -173,6 +223,15 @@
 /* Watches of the store that may have fallen silent. */
 void fr_silence_init(struct fr *fr);
 
+/*
+ * Appends what a request would meet now. The question has lines of "NAME
+ * VALUE": host, path, and the key of an organisation.
+ */
+void fr_explain(struct fr *fr, struct gb_str question, struct gb_buf *out);
+
+/* Called at the end of a step, whose answer may be of a later era. */
+void fr_era_seen(struct fr_follower *follower);
+
 /* Records that a list was read to its end. */
 void fr_silence_listed(struct fr_follower *follower);
 
@@ -198,6 +257,10 @@
 
 struct fr_peer *fr_get_peer(struct fr *fr, struct gb_str member);
 
+/* Returns where to send queries that a member gathers; NULL if unknown. */
+struct ht_target *fr_query_target(struct fr *fr, struct gb_str member);
+void fr_close_idle_query_targets(struct fr *fr);
+
 /* The store; NULL if its address cannot be read. */
 struct ht_target *fr_store_target(struct fr *fr);
 
@@ -261,9 +324,66 @@
 /* Tells other VMs of lost runs, and asks one for what it suspects. */
 void fr_suspect_tick(struct fr *fr);
 
-/* Handles a datagram about requests that crash upstreams; ignores others. */
+/* Handles a message about requests that crash upstreams; ignores others. */
 void fr_suspect_receive(struct fr *fr, const struct sockaddr *from,
-			struct gb_str datagram);
+			const struct msg *msg);
+
+/* Roll-outs of services to other versions. */
+void fr_rollout_init(struct fr *fr);
+void fr_rollout_ordered(struct fr *fr, const struct fr_rollout_order *order);
+void fr_rollout_withdrawn(struct fr *fr, struct gb_str service);
+
+/* Orders without a fr_rollout_ordered() between these are withdrawn. */
+void fr_rollout_list_begin(struct fr *fr);
+void fr_rollout_list_end(struct fr *fr);
+void fr_rollout_tick(struct fr *fr);
+
+/* Handle messages of other VMs; an unknown order is ignored. */
+void fr_rollout_report(struct fr *fr, const struct sockaddr *from,
+		       const struct msg_rollout_report *m);
+void fr_rollout_step(struct fr *fr, const struct msg_rollout_step *m);
+
+/* Appends a line for each roll-out. */
+void fr_rollout_text(struct fr *fr, struct gb_buf *out);
+
+/* Takes over the step of a roll-out: logs it, and sets the versions. */
+void fr_rollout_apply_step(struct fr *fr, struct fr_rollout *entry);
+
+/* Writes the status of a roll-out that the store does not have yet. */
+void fr_rollout_store_tick(struct fr *fr);
+
+/* Random members to announce to; each announces in turn. */
+#define ANNOUNCE_FANOUT 8
+
+/* Send a message to another VM, or to some random ones. */
+void fr_member_send_message(struct fr *fr, const struct sockaddr *to,
+			    const struct msg *msg);
+void fr_member_announce(struct fr *fr, const struct msg *msg, uint32_t members);
+
+/* Continue with a request: forward it, or refuse it as not run. */
+void fr_query_start(struct fr *fr, struct ht_exchange *exchange,
+		    struct rt_table *table, struct rt_route *route,
+		    const struct og_org *org,
+		    const struct fr_request_info *info);
+void fr_query_refuse(struct fr *fr, struct ht_exchange *exchange,
+		     const struct fr_request_info *info, int status,
+		     gb_time retry_after);
+/* Queries that other VMs gather, and announcements of who may do so. */
+void fr_helper_init(struct fr *fr);
+void fr_helper_tick(struct fr *fr);
+void fr_helper_receive(struct fr *fr, const struct msg_helpers *m);
+
+/*
+ * A query to be gathered by this VM: fr_query_run() starts it, and may end it
+ * at once.
+ */
+struct fr_query *fr_query_new(struct fr *fr, struct ht_exchange *exchange,
+			      struct rt_table *table, struct rt_route *route,
+			      const struct fw_request_params *params);
+void fr_query_run(struct fr_query *query);
+
+/* Ends a query without a reply. */
+void fr_query_cancel(struct fr_query *query);
 
 /* Readiness, metrics and status. */
 extern const struct ht_server_ops fr_ready_ops;
--- a/packages/front/fr-main.c
+++ b/packages/front/fr-main.c
@@ -1,4 +1,4 @@
-#include "front/fr-internal.h"
+#include "front/fr-organisation.h"
 #include "http/ht-listener.h"
 
 #include <signal.h>
@@ -6,7 +6,7 @@
 #include <sys/random.h>
 
 /* Interval of on_tick(), which drives membership, sweeps and log flushes. */
-#define TICK_MS 250
+#define TICK_MS (RO_TICK / GB_MSEC)
 
 /* Ticks between two checks of the settings file for changes. */
 #define TICKS_PER_SETTINGS_CHECK 8
@@ -102,6 +102,9 @@
 	set_memory_limit(fr);
 	fr->log.severity = fr->settings.log_severity;
 	fr->log.rate = fr->settings.log_rate;
+	fr->engine.exposure = fr->settings.exposure;
+	og_limiter_set(fr->limiter, &fr->settings.quota);
+	og_buckets_set(fr->buckets, &fr->settings.quota);
 	fr_update_timing(fr);
 	fr_update_budget(fr);
 }
@@ -181,7 +184,8 @@
 		begin_closing(fr);
 	ht_server_close_idle(&fr->caller_server);
 	if (!ht_server_is_listening(&fr->caller_server) &&
-	    !fr->caller_server.conns.length && !fr->queries.length)
+	    !fr->caller_server.conns.length && !fr->queries.length &&
+	    !g_hash_table_size(fr->asks) && !fr->delegations.length)
 		finish_stop(fr);
 }
 
@@ -225,6 +229,9 @@
 	}
 	fr_suspect_tick(fr);
 	fr_keep_tick(fr);
+	fr_rollout_tick(fr);
+	fr_org_tick(fr);
+	fr_helper_tick(fr);
 	if (fr->ticks % TICKS_PER_SETTINGS_CHECK == 0)
 		fr_reload_settings(fr, false);
 	ht_server_close_expired(&fr->caller_server, now);
@@ -270,6 +277,7 @@
 		.cross_dc_rtt = CROSS_DC_PENALTY,
 		.drain_time = fr->settings.drain_time,
 		.cold_burst = fr->settings.cold_allowance,
+		.checks_versions = fr->settings.exposure.share > 0,
 	};
 
 	g_queue_init(&fr->queries);
@@ -279,6 +287,8 @@
 		       &fr->metrics);
 	fr_suspect_init(fr);
 	fr_keep_init(fr);
+	fr_rollout_init(fr);
+	fr_org_init(fr);
 }
 
 static void init_loop_check(struct fr *fr)
@@ -318,6 +328,7 @@
 	ret = fr_member_start(fr);
 	if (ret)
 		return ret;
+	fr_helper_init(fr);
 	fr_update_budget(fr);
 	ret = fr_directory_start(fr);
 	if (!ret)
--- a/packages/front/fr-member.c
+++ b/packages/front/fr-member.c
@@ -1,6 +1,7 @@
-#include "front/fr-internal.h"
+#include "front/fr-organisation.h"
 
 #include "wire/wire-member.h"
+#include "wire/wire.h"
 
 #define PROBE_INTERVAL (500 * GB_MSEC)
 
@@ -52,6 +53,37 @@
 	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+/* Handles a datagram that is not about membership; ignores unreadable ones. */
+static void receive_message(struct fr *fr, const struct sockaddr *from,
+			    struct gb_str datagram)
+{
+	struct wire_reader reader = { 0 };
+	struct msg *msg = NULL;
+	struct gb_error error;
+
+	wire_reader_feed(&reader, datagram);
+	if (wire_reader_next(&reader, &msg, &error) == 1) {
+		if (msg->kind == MSG_ROLLOUT_REPORT)
+			fr_rollout_report(fr, from, &msg->rollout_report);
+		else if (msg->kind == MSG_ROLLOUT_STEP)
+			fr_rollout_step(fr, &msg->rollout_step);
+		else if (msg->kind == MSG_QUOTA_REPORT)
+			fr_org_report(fr, from, &msg->quota_report);
+		else if (msg->kind == MSG_QUOTA_LEVEL)
+			fr_org_level(fr, &msg->quota_level);
+		else if (msg->kind == MSG_QUOTA_ASK)
+			fr_ask_receive(fr, from, &msg->quota_report);
+		else if (msg->kind == MSG_QUOTA_GRANT)
+			fr_ask_granted(fr, &msg->quota_grant);
+		else if (msg->kind == MSG_HELPERS)
+			fr_helper_receive(fr, &msg->helpers);
+		else
+			fr_suspect_receive(fr, from, msg);
+		msg_free(msg);
+	}
+	wire_reader_free(&reader);
+}
+
 static void on_datagram(uv_udp_t *udp, ssize_t len, const uv_buf_t *buf,
 			const struct sockaddr *from, unsigned int flags)
 {
@@ -65,7 +97,7 @@
 	met_add(&fr->metrics, MET_PEER_MESSAGES, 1);
 	met_add(&fr->metrics, MET_PEER_BYTES, len);
 	if (wire_member_decode(bytes, &message)) {
-		fr_suspect_receive(fr, from, bytes);
+		receive_message(fr, from, bytes);
 		return;
 	}
 	mem_receive(fr->members, ht_now(), &message);
@@ -94,6 +126,29 @@
 		fr_member_send_to(fr, (struct sockaddr *)&addr, bytes);
 }
 
+void fr_member_send_message(struct fr *fr, const struct sockaddr *to,
+			    const struct msg *msg)
+{
+	struct gb_buf bytes = GB_BUF_INIT;
+
+	if (!wire_encode(msg, &bytes))
+		fr_member_send_to(fr, to, gb_buf_str(&bytes));
+	gb_buf_free(&bytes);
+}
+
+void fr_member_announce(struct fr *fr, const struct msg *msg, uint32_t members)
+{
+	struct gb_buf bytes = GB_BUF_INIT;
+	struct gb_str member;
+
+	if (wire_encode(msg, &bytes))
+		return;
+	for (uint32_t i = 0; i < members; i++)
+		if (mem_pick(fr->members, MEM_ALL, 0, 0, &member))
+			fr_member_send(fr, member, gb_buf_str(&bytes));
+	gb_buf_free(&bytes);
+}
+
 static void on_send(void *ctx, struct gb_str address,
 		    const struct mem_message *message)
 {
@@ -118,6 +173,7 @@
 	struct sockaddr_storage addr;
 	struct mem_settings settings = {
 		.dc = fr->settings.dc,
+		.processor_share = fr->settings.processor_share,
 		.incarnation = g_get_real_time() / 1000,
 		.probe_interval = PROBE_INTERVAL,
 		.ack_timeout = ACK_TIMEOUT,
@@ -127,8 +183,8 @@
 	};
 
 	append_member_address(fr, fr->settings.listen_address, &own_address);
-	/* The table refers to the address for the life of the process. */
-	settings.address = gb_str_dup(gb_buf_str(&own_address));
+	fr->member_address = gb_str_dup(gb_buf_str(&own_address));
+	settings.address = fr->member_address;
 	gb_buf_free(&own_address);
 	fr->members = mem_new(&settings, &member_ops, fr, ht_now(), &fr->rng);
 	add_seeds(fr);
--- a/packages/front/fr-object.c
+++ b/packages/front/fr-object.c
@@ -1,4 +1,4 @@
-#include "front/fr-internal.h"
+#include "front/fr-organisation.h"
 
 /*
  * A start time further ahead of the wall clock is not that of a process. It
@@ -6,6 +6,20 @@
  */
 #define PROCESS_START_AHEAD_MAX (3600 * GB_SEC)
 
+/* Bytes that a VM adds to the head of a request that it hands over. */
+#define HOP_HEAD_MAX 160
+
+/* Whatever callers may send is accepted from other VMs as well. */
+static void set_control_limits(struct fr *fr, const struct rt_limits *limits)
+{
+	struct ht_limits *control = &fr->control_server.limits;
+
+	control->head_max = MAX(rt_limits_default.header_bytes_max,
+				limits->header_bytes_max + HOP_HEAD_MAX);
+	control->body_max =
+		MAX(rt_limits_default.body_bytes_max, limits->body_bytes_max);
+}
+
 /*
  * Connects the routes and services of a version of the configuration to the
  * state that outlives it: fleet services and forwarding statistics.
@@ -27,6 +41,7 @@
 		route->data = fw_route_stats(&fr->engine, route->name);
 	}
 	fr_set_server_limits(&fr->caller_server, &table->limits);
+	set_control_limits(fr, &table->limits);
 }
 
 static void on_routes(void *ctx, struct rt_table *table)
@@ -35,10 +50,12 @@
 	struct ev_event event = { .code = EV_CONFIG_TAKEN,
 				  .num1 = table->version };
 
-	if (rt_current_replace(&fr->config, table))
+	if (rt_current_replace(&fr->config, table)) {
 		bind_table(fr, table);
-	else
+		fr_org_log_table(fr, table);
+	} else {
 		event.code = EV_CONFIG_REFUSED;
+	}
 	fr_log_event(fr, &event);
 }
 
@@ -62,7 +79,7 @@
 	gb_buf_free(&detail);
 	/* An unreadable entry names no upstream that could be used. */
 	if (kind == FR_UPSTREAMS)
-		fl_remove_entry(fr->fleet, ht_now(), name);
+		fl_remove_entry(fr->fleet, ht_now(), name, 0);
 }
 
 /* Checks the parts of an entry that the platform's decoder does not know. */
@@ -79,18 +96,6 @@
 	return 0;
 }
 
-/* Time before now for which the source did not answer, or may not have. */
-static gb_time unseen_time(const struct fr *fr)
-{
-	const struct fr_follower *follower = &fr->followers[FR_UPSTREAMS];
-	bool was_silent =
-		follower->state.failures || follower->state.source_in_doubt;
-
-	return was_silent && follower->state.answered_at
-		       ? ht_now() - follower->state.answered_at
-		       : 0;
-}
-
 static void on_upstream(void *ctx, const struct fl_entry *entry)
 {
 	struct fr *fr = ctx;
@@ -105,13 +110,19 @@
 		on_invalid_object(ctx, FR_UPSTREAMS, entry->id, &error);
 		return;
 	}
-	dated.unseen = unseen_time(fr);
+	dated.restored = fr->followers[FR_UPSTREAMS].state.restored;
+	dated.unseen =
+		dir_unseen_time(&fr->followers[FR_UPSTREAMS].state, ht_now());
 	if (!fl_apply_entry(fr->fleet, ht_now(), &dated))
 		return;
 	gb_buf_addf(&detail, "service=%.*s leaving=%d cold_us=%lld born=%lld",
 		    (int)entry->service.len, entry->service.ptr, entry->leaving,
 		    (long long)entry->cold_remaining,
 		    (long long)entry->process_start);
+	if (entry->version.len) {
+		gb_buf_add(&detail, GB_STR(" version="));
+		ev_quote(entry->version, &detail);
+	}
 	event.detail = gb_buf_str(&detail);
 	fr_log_event(fr, &event);
 	gb_buf_free(&detail);
@@ -123,7 +134,9 @@
 	const struct ev_event event = { .code = EV_ENTRY_REMOVED,
 					.upstream = id };
 
-	fl_remove_entry(fr->fleet, ht_now(), id);
+	fl_remove_entry(
+		fr->fleet, ht_now(), id,
+		dir_unseen_time(&fr->followers[FR_UPSTREAMS].state, ht_now()));
 	fr_log_event(fr, &event);
 }
 
@@ -139,6 +152,16 @@
 		fr_log_event(fr, &event);
 }
 
+static void on_rollout(void *ctx, const struct fr_rollout_order *order)
+{
+	fr_rollout_ordered(ctx, order);
+}
+
+static void on_rollout_removed(void *ctx, struct gb_str service)
+{
+	fr_rollout_withdrawn(ctx, service);
+}
+
 static void on_raw_object(void *ctx, enum fr_object_kind kind,
 			  const struct mir_object *object)
 {
@@ -162,5 +185,7 @@
 	.upstream = on_upstream,
 	.upstream_removed = on_upstream_removed,
 	.dc_exclusion = on_dc_exclusion,
+	.rollout = on_rollout,
+	.rollout_removed = on_rollout_removed,
 	.invalid_object = on_invalid_object,
 };
--- a/packages/front/fr-silence.c
+++ b/packages/front/fr-silence.c
@@ -1,4 +1,4 @@
-#include "front/fr-internal.h"
+#include "front/fr-organisation.h"
 
 static void log_renewal(const struct fr_follower *follower)
 {
@@ -40,7 +40,7 @@
  */
 static void renew_watches(struct fr *fr, gb_time min_wait)
 {
-	for (int kind = 0; kind < FR_KINDS; kind++)
+	for (int kind = 0; kind < fr->kinds; kind++)
 		if (waits_for_store(&fr->followers[kind], min_wait))
 			renew_watch(&fr->followers[kind]);
 	ht_target_close_idle(fr->store_target);
@@ -71,8 +71,8 @@
 
 void fr_silence_source_chosen(const struct fr_follower *follower)
 {
-	if (follower->kind == FR_LIVENESS_KIND && follower->state.from_peer &&
-	    follower->fr->store_target)
+	if (follower->kind == fr_liveness_kind(follower->fr) &&
+	    follower->state.from_peer && follower->fr->store_target)
 		renew_watches(follower->fr, FR_WATCH_WAIT_QUIET);
 }
 
@@ -81,7 +81,7 @@
 {
 	struct fr *fr = timer->data;
 
-	for (int kind = 0; kind < FR_KINDS; kind++)
+	for (int kind = 0; kind < fr->kinds; kind++)
 		if (fr->followers[kind].state.revision < fr->audit.newest &&
 		    waits_for_store(&fr->followers[kind], GB_MSEC))
 			renew_watch(&fr->followers[kind]);
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -1,4 +1,4 @@
-#include "front/fr-internal.h"
+#include "front/fr-organisation.h"
 
 /*
  * Time after the start in which members that started at the same time are
@@ -15,8 +15,8 @@
 /* Connections to each VM: one per follower. */
 #define SOURCE_CONNS FR_KINDS
 
-/* Connections to the store: one more for the records. */
-#define STORE_CONNS (SOURCE_CONNS + 1)
+/* Connections to the store: one more for the records, one for roll-outs. */
+#define STORE_CONNS (SOURCE_CONNS + 2)
 
 /*
  * Sources are a few milliseconds away; a lost packet is retransmitted sooner.
@@ -35,6 +35,12 @@
 /* After a failure of the store, a VM is used instead for this time. */
 #define AVOID_STORE (4 * GB_SEC)
 
+/*
+ * Connections to each VM for queries that it gathers for this one. A VM takes
+ * no more queries than this at a time from all others.
+ */
+#define QUERY_CONNS 64
+
 /* Random members to try for one that has not failed recently. */
 #define PEER_DRAWS_MAX 8
 
@@ -114,17 +120,71 @@
 	return peer;
 }
 
+struct ht_target *fr_query_target(struct fr *fr, struct gb_str member)
+{
+	struct fr_peer *peer = fr_get_peer(fr, member);
+	struct gb_buf text = GB_BUF_INIT;
+
+	if (!peer || peer->query_target)
+		return peer ? peer->query_target : NULL;
+	peer->query_target = ht_target_new(
+		fr->loop, peer_address(fr, member, &text), QUERY_CONNS);
+	peer->query_target->connect_timeout = CONNECT_TIMEOUT_PEER;
+	peer->query_target->memory = &fr->memory;
+	gb_buf_free(&text);
+	return peer->query_target;
+}
+
+void fr_close_idle_query_targets(struct fr *fr)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fr->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct fr_peer *peer = value;
+
+		if (peer->query_target)
+			ht_target_close_expired(peer->query_target, ht_now());
+	}
+}
+
 static bool is_avoided(const struct fr_peer *peer, gb_time now)
 {
 	return !peer || peer->avoid_until > now;
 }
 
+/*
+ * Chooses the first VM that has not failed recently among the readers of that
+ * scope and those that take their place. *is_own_turn is set if that is this
+ * VM, which then reads the store itself.
+ */
+static struct fr_peer *choose_candidate(struct fr *fr, enum mem_scope scope,
+					gb_time now, bool *is_own_turn)
+{
+	enum mem_candidate found;
+	struct fr_peer *peer;
+	struct gb_str member;
+
+	for (uint32_t i = 0; !*is_own_turn; i++) {
+		found = mem_reader_candidate(fr->members, scope, i, &member);
+		if (found == MEM_NO_MORE)
+			return NULL;
+		*is_own_turn = found == MEM_SELF;
+		peer = *is_own_turn ? NULL : fr_get_peer(fr, member);
+		if (!is_avoided(peer, now))
+			return peer;
+	}
+	return NULL;
+}
+
 /*
  * Chooses a reader of this data centre, or else of the tier; if possible, one
- * that has not failed recently.
+ * that has not failed recently. Returns NULL if this VM has to read the store.
  */
 static struct fr_peer *choose_peer(struct fr *fr, gb_time now)
 {
+	bool is_own_turn = false;
 	struct fr_peer *peer = NULL;
 	struct gb_str member;
 
@@ -135,6 +195,13 @@
 		return fr_get_peer(fr, member);
 	if (mem_pick_reader(fr->members, MEM_SAME_DC, &member))
 		peer = fr_get_peer(fr, member);
+	if (is_avoided(peer, now) && !mem_all_are_readers(fr->members)) {
+		peer = choose_candidate(fr, MEM_SAME_DC, now, &is_own_turn);
+		if (!peer)
+			peer = choose_candidate(fr, MEM_ALL, now, &is_own_turn);
+		if (peer || is_own_turn)
+			return peer;
+	}
 	for (int i = 0; i < PEER_DRAWS_MAX && is_avoided(peer, now); i++) {
 		if (!mem_pick_reader(fr->members, MEM_ALL, &member) &&
 		    !mem_pick_seed(fr->members, &member))
@@ -171,7 +238,7 @@
 static bool is_liveness_at_store(const struct fr *fr)
 {
 	const struct dir_follower *live =
-		&fr->followers[FR_LIVENESS_KIND].state;
+		&fr->followers[fr_liveness_kind(fr)].state;
 
 	return !live->from_peer && live->synced && !live->failures;
 }
@@ -182,8 +249,10 @@
  */
 static bool awaits_liveness(const struct fr_follower *follower)
 {
-	return follower->state.synced && follower->kind != FR_LIVENESS_KIND &&
-	       follower->fr->followers[FR_LIVENESS_KIND].state.failures;
+	return follower->state.synced &&
+	       follower->kind != fr_liveness_kind(follower->fr) &&
+	       follower->fr->followers[fr_liveness_kind(follower->fr)]
+		       .state.failures;
 }
 
 /* One attempt in so many goes to the store while other VMs fail as sources. */
@@ -234,7 +303,7 @@
 /* Time for which the store may hold a watch of this VM. */
 static gb_time direct_watch_wait(const struct fr_follower *follower)
 {
-	if (follower->kind != FR_LIVENESS_KIND &&
+	if (follower->kind != fr_liveness_kind(follower->fr) &&
 	    is_liveness_at_store(follower->fr))
 		return FR_WATCH_WAIT_QUIET;
 	return mem_all_are_readers(follower->fr->members)
@@ -264,6 +333,7 @@
 	follower->peer = peer;
 	if (!peer)
 		wait = direct_watch_wait(follower);
+	wait = fr_proof_wait(follower, wait);
 	dir_begin_step(&follower->state, now, wait, peer);
 	return peer ? peer->target : fr_store_target(fr);
 }
--- a/packages/front/fr-suspect.c
+++ b/packages/front/fr-suspect.c
@@ -12,9 +12,6 @@
 #define CRASHES_MAX 3
 #define QUARANTINE_INITIAL (10 * GB_SEC)
 
-/* Random members to announce to; each announces in turn. */
-#define ANNOUNCE_FANOUT 8
-
 /* Suspects of one datagram, small enough not to be fragmented. */
 #define SUSPECTS_PER_DATAGRAM 60
 
@@ -44,30 +41,13 @@
 	return gb_hash(gb_buf_str(&request->body), host_and_path);
 }
 
-static void send_message(struct fr *fr, const struct msg *msg,
-			 const struct sockaddr *to)
-{
-	struct gb_buf bytes = GB_BUF_INIT;
-
-	if (!wire_encode(msg, &bytes))
-		fr_member_send_to(fr, to, gb_buf_str(&bytes));
-	gb_buf_free(&bytes);
-}
-
 static void announce(struct fr *fr, uint64_t fingerprint, uint32_t crashes)
 {
 	const struct msg msg = { .kind = MSG_QUARANTINE,
 				 .quarantine = { .fingerprint = fingerprint,
 						 .crashes = crashes } };
-	struct gb_buf bytes = GB_BUF_INIT;
-	struct gb_str member;
 
-	if (wire_encode(&msg, &bytes))
-		return;
-	for (int i = 0; i < ANNOUNCE_FANOUT; i++)
-		if (mem_pick(fr->members, MEM_ALL, 0, 0, &member))
-			fr_member_send(fr, member, gb_buf_str(&bytes));
-	gb_buf_free(&bytes);
+	fr_member_announce(fr, &msg, ANNOUNCE_FANOUT);
 }
 
 void fr_suspect_report(void *ctx, uint64_t fingerprint, uint32_t crashes)
@@ -181,7 +161,7 @@
 					 .suspects_len = answer->suspects_len,
 				 } };
 
-	send_message(answer->fr, &msg, answer->to);
+	fr_member_send_message(answer->fr, answer->to, &msg);
 	answer->suspects_len = 0;
 	answer->datagrams++;
 }
@@ -233,25 +213,16 @@
 }
 
 void fr_suspect_receive(struct fr *fr, const struct sockaddr *from,
-			struct gb_str datagram)
+			const struct msg *msg)
 {
-	struct wire_reader reader = { 0 };
-	struct msg *msg = NULL;
-	struct gb_error error;
-
-	wire_reader_feed(&reader, datagram);
-	if (wire_reader_next(&reader, &msg, &error) == 1) {
-		if (msg->kind == MSG_QUARANTINE)
-			learn_crashes(fr, &msg->quarantine);
-		else if (msg->kind == MSG_SUSPECTS_ASK)
-			answer_ask(fr, from);
-		else if (msg->kind == MSG_SUSPECTS)
-			learn_suspects(fr, &msg->suspects);
-		else if (msg->kind == MSG_RUN_END)
-			learn_run_end(fr, &msg->run_end);
-		msg_free(msg);
-	}
-	wire_reader_free(&reader);
+	if (msg->kind == MSG_QUARANTINE)
+		learn_crashes(fr, &msg->quarantine);
+	else if (msg->kind == MSG_SUSPECTS_ASK)
+		answer_ask(fr, from);
+	else if (msg->kind == MSG_SUSPECTS)
+		learn_suspects(fr, &msg->suspects);
+	else if (msg->kind == MSG_RUN_END)
+		learn_run_end(fr, &msg->run_end);
 }
 
 static void ask_for_suspects(struct fr *fr, gb_time now)
@@ -270,7 +241,7 @@
 	    !mem_pick_seed(fr->members, &member))
 		return;
 	if (!ht_parse_address(member, &to))
-		send_message(fr, &msg, (struct sockaddr *)&to);
+		fr_member_send_message(fr, (struct sockaddr *)&to, &msg);
 }
 
 void fr_suspect_tick(struct fr *fr)
--- a/packages/front/fr-upstream.c
+++ b/packages/front/fr-upstream.c
@@ -17,10 +17,20 @@
  */
 #define PAUSE_MAX (600 * GB_SEC)
 
+static struct fr_identity identity_of(const struct fw_request *request)
+{
+	return (struct fr_identity){
+		.needs_key = request->table->organisations != NULL,
+		.organisation = request->org ? request->org->name : GB_STR(""),
+	};
+}
+
 static bool on_encode(struct ht_call *http, struct gb_buf *out)
 {
 	struct upstream_attempt *attempt = (struct upstream_attempt *)http;
 	const struct ht_request *request = &attempt->query->exchange->request;
+	const struct fr_identity identity =
+		identity_of(attempt->query->request);
 	gb_time now = ht_now(), left;
 
 	attempt->withdrawn = !fw_call_may_be_sent(attempt->call, now);
@@ -29,7 +39,7 @@
 	left = fw_call_sent(attempt->call, now);
 	if (!attempt->query->common_head.len)
 		attempt->query->fr->platform->write_common_head(
-			request, &attempt->query->common_head);
+			request, &identity, &attempt->query->common_head);
 	gb_buf_add(out, gb_buf_str(&attempt->query->common_head));
 	attempt->query->fr->platform->write_call(
 		request, attempt->call->upstream, MAX(left, GB_MSEC), out);
--- a/packages/front/fr.h
+++ b/packages/front/fr.h
@@ -42,7 +42,13 @@
 	/* further retries and hedges per window, over all VMs */
 	double retry_extra;
 	size_t memory; /* bytes that the process may use */
+	double processor_share; /* cores that it may use; 0: not known */
 	double cold_allowance; /* burst of requests to a cold upstream */
+	/* of a version being rolled out; share 0: roll-outs are not followed */
+	struct ro_exposure_limits exposure;
+	/* after which no key that was taken away is served; 0: no bound */
+	gb_time revoke_time;
+	struct og_settings quota; /* tolerance of limits */
 	int log_severity;
 	uint32_t log_rate; /* lines/s of severity info and below */
 };
@@ -52,6 +58,13 @@
 	struct gb_str id;
 	struct gb_str host; /* without a port */
 	gb_time timeout; /* time that the caller waits; 0 if not given */
+	struct gb_str key; /* of its organisation; empty if there is none */
+};
+
+/* What upstreams are told of the caller. */
+struct fr_identity {
+	bool needs_key; /* its key, and what it says itself, are left out */
+	struct gb_str organisation; /* empty if it has none */
 };
 
 /* The call to which an upstream's answer should belong. */
@@ -72,8 +85,36 @@
 	gb_time pause; /* for which it wants no requests of this VM; 0: none */
 };
 
-/* Kinds of objects in the store. */
-enum fr_object_kind { FR_ROUTES, FR_UPSTREAMS, FR_EXCLUSIONS, FR_KINDS };
+/* Kinds of objects in the store. The last one is not always followed. */
+enum fr_object_kind {
+	FR_ROUTES,
+	FR_UPSTREAMS,
+	FR_EXCLUSIONS,
+	FR_ROLLOUTS,
+	FR_KINDS
+};
+
+/* An operator's order to move a service to another version, as stored. */
+struct fr_rollout_order {
+	struct gb_str service;
+	struct gb_str target_version;
+	gb_time duration;
+	int64_t created_revision; /* of the object */
+	int64_t revision;
+	bool has_status; /* it has a status about this target version */
+	bool is_status_invalid; /* of another writer */
+	enum ro_step step; /* by the status */
+	int64_t ordered_at_ms; /* wall clock, Unix time; 0: unknown */
+};
+
+/* What a VM writes as the status of an order. */
+struct fr_rollout_status {
+	struct gb_str service;
+	struct gb_str target_version;
+	int64_t revision; /* of the order that the status replaces */
+	enum ro_step step;
+	int64_t ordered_at_ms;
+};
 
 /* Callbacks for the decoded objects. */
 struct fr_object_ops {
@@ -82,6 +123,8 @@
 	void (*upstream)(void *ctx, const struct fl_entry *entry);
 	void (*upstream_removed)(void *ctx, struct gb_str id);
 	void (*dc_exclusion)(void *ctx, struct gb_str dc, bool excluded);
+	void (*rollout)(void *ctx, const struct fr_rollout_order *order);
+	void (*rollout_removed)(void *ctx, struct gb_str service);
 	/* Called with each object that other VMs may be sent, as stored. */
 	void (*raw_object)(void *ctx, enum fr_object_kind kind,
 			   const struct mir_object *object);
@@ -102,6 +145,7 @@
 	bool more;
 	/* of the last object that has one, readable or not; owned */
 	struct gb_str last_name;
+	gb_time peer_age; /* of what another VM knows; -1: it gave none */
 };
 
 /*
@@ -133,6 +177,7 @@
 				  struct fr_request_info *info);
 	/* Appends the part of the head that is the same for all upstreams. */
 	void (*write_common_head)(const struct ht_request *request,
+				  const struct fr_identity *identity,
 				  struct gb_buf *out);
 	/* Appends the rest of the head, and the body. */
 	void (*write_call)(const struct ht_request *request,
@@ -160,13 +205,26 @@
 				 struct fr_store_query *query);
 	void (*add_object)(bool watch, const struct mir_object *object,
 			   struct gb_buf *page);
-	/* Turns the objects appended by add_object() into a whole body. */
-	void (*end_page)(bool watch, int64_t revision, struct gb_buf *page);
+	/*
+	 * Turns the objects appended by add_object() into a whole body, with
+	 * the age of what this VM knows; -1 for none.
+	 */
+	void (*end_page)(bool watch, int64_t revision, gb_time age,
+			 struct gb_buf *page);
+	/*
+	 * Reads the era of an answer of the store, or of a VM: 0 if it has
+	 * none. Returns -1 if there are several, or one that is no number.
+	 */
+	int (*read_era)(const struct ht_response *response, int64_t *era);
+	/* Appends the header field of an answer to another VM. */
+	void (*write_era)(int64_t era, struct gb_buf *fields);
 	/* Requests to the store for the records of crashing requests. */
 	void (*write_record_list)(struct gb_buf *out);
 	void (*write_record)(const struct fr_record *record, bool replaces,
 			     struct gb_buf *out);
 	void (*write_record_removal)(uint64_t fingerprint, struct gb_buf *out);
+	void (*write_rollout_status)(const struct fr_rollout_status *status,
+				     struct gb_buf *out);
 	/*
 	 * Visits the records of a list and counts the objects that are none;
 	 * returns 0, or -1 if it is no list.
--- a/packages/settings/set-table.c
+++ b/packages/settings/set-table.c
@@ -228,6 +228,17 @@
 	  .description = GB_STR_INIT(
 		  "Memory that the process may use; requests and answers in "
 		  "transit take up to a quarter of it.") },
+	{ .section = GB_STR_INIT("bounds"),
+	  .key = GB_STR_INIT("processor_share"),
+	  .type = &set_type_real,
+	  .default_text = GB_STR_INIT("0"),
+	  .min = 0,
+	  .max = 1024,
+	  FIELD(front.processor_share),
+	  .description = GB_STR_INIT(
+		  "Processor cores that the process may use, also a fraction; "
+		  "a VM with a small part hands large queries to one with "
+		  "several times as much; 0: not known.") },
 	{ .section = GB_STR_INIT("bounds"),
 	  .key = GB_STR_INIT("cold_allowance"),
 	  .type = &set_type_real,
@@ -238,6 +249,58 @@
 	  .description = GB_STR_INIT(
 		  "Largest burst of requests that a cold upstream can "
 		  "handle.") },
+	{ .section = GB_STR_INIT("bounds"),
+	  .key = GB_STR_INIT("exposure_share"),
+	  .type = &set_type_real,
+	  .default_text = GB_STR_INIT("0"),
+	  .min = 0,
+	  .max = 1,
+	  FIELD(front.exposure.share),
+	  .description = GB_STR_INIT(
+		  "Part of the requests to a service that a bad version may "
+		  "get during its roll-out, over all VMs together; 0: "
+		  "roll-outs are not followed.") },
+	{ .section = GB_STR_INIT("bounds"),
+	  .key = GB_STR_INIT("exposure_extra"),
+	  .type = &set_type_real,
+	  .default_text = GB_STR_INIT("0"),
+	  .min = 0,
+	  .max = 1000000,
+	  FIELD(front.exposure.extra_total),
+	  .description = GB_STR_INIT(
+		  "Further requests that a bad version may get, over all VMs "
+		  "together.") },
+	{ .section = GB_STR_INIT("bounds"),
+	  .key = GB_STR_INIT("revoke_ms"),
+	  .type = &set_type_real_ms,
+	  .default_text = GB_STR_INIT("0"),
+	  .min = 0,
+	  .max = 600000,
+	  FIELD(front.revoke_time),
+	  .description = GB_STR_INIT(
+		  "Time after which no VM may serve a key that was taken away, "
+		  "in touch with the store or not; 0: as any change of the "
+		  "configuration.") },
+	{ .section = GB_STR_INIT("bounds"),
+	  .key = GB_STR_INIT("quota_window_s"),
+	  .type = &set_type_real_s,
+	  .default_text = GB_STR_INIT("5"),
+	  .min = 1,
+	  .max = 14,
+	  FIELD(front.quota.window),
+	  .description = GB_STR_INIT(
+		  "Window in which the requests of an organisation are "
+		  "compared with its limit.") },
+	{ .section = GB_STR_INIT("bounds"),
+	  .key = GB_STR_INIT("quota_tolerance"),
+	  .type = &set_type_real,
+	  .default_text = GB_STR_INIT("0"),
+	  .min = 0,
+	  .max = 1000000,
+	  FIELD(front.quota.tolerance),
+	  .description = GB_STR_INIT(
+		  "Requests beyond its limit that an organisation may get in "
+		  "a window, over all VMs together.") },
 	{ .section = GB_STR_INIT("quorum"),
 	  .key = GB_STR_INIT("heartbeat_ms"),
 	  .type = &set_type_ms,
