--- a/tests/emulator/commands.sh
+++ b/tests/emulator/commands.sh
@@ -9,6 +9,7 @@
 		line=${line//FILE.ini/$dir/vm1.ini}
 		line=${line//ADDRESS/127.0.$net.1:8106}
 		line=${line//=ID/=$id}
+		line=${line//shop.example \/list/emu.example \/one}
 		line=${line//i-bab6763608/single-0}
 		line=${line//vm1.log/$dir/vm1.log}
 		line=${line//vm2.log/$dir/vm2.log}
--- /dev/null
+++ b/tests/emulator/crowd-over.sh
@@ -0,0 +1,2 @@
+at 11500
+peak_within 64
--- /dev/null
+++ b/tests/emulator/helpers-few.sh
@@ -0,0 +1,1 @@
+. tests/emulator/helpers-fail.sh
--- a/tests/emulator/lib.sh
+++ b/tests/emulator/lib.sh
@@ -2,7 +2,10 @@
 # addresses, from 127.0.NET.1, so that several tests can run at once.
 
 # write_settings DIR NET INDEX VMS: writes the settings file of one VM; $memory
-# is the memory in MB that it may use, $apply_ms and $stable_ms are bounds, if set
+# is the memory in MB that it may use, $apply_ms and $stable_ms are bounds, and
+# $exposure is "SHARE EXTRA" of a version that is rolled out, if set; with $keys
+# set, keys and limits of organisations are strict; $shares has the processor cores
+# of each VM
 write_settings() {
 	local seeds= i
 	i=1
@@ -29,6 +32,11 @@
 	${memory:+memory_mb = $memory}
 	${apply_ms:+apply_ms = $apply_ms}
 	${stable_ms:+stable_ms = $stable_ms}
+	${exposure:+exposure_share = ${exposure% *}}
+	${exposure:+exposure_extra = ${exposure#* }}
+	${keys:+revoke_ms = 5000}
+	${shares:+processor_share = $(echo "$shares" | cut -d' ' -f"$3")}
+	${keys:+quota_tolerance = 20}
 	retry_ratio = 0.2
 	retry_extra = 58
 	EOF
@@ -80,3 +88,32 @@
 
 	[ "$left" -gt 0 ] && sleep "$((left / 1000)).$(printf %03d $((left % 1000)))"
 }
+
+# peak_within MB: the peak memory of VM 1 so far
+peak_within() {
+	local kb
+
+	kb=$(sed -n 's/^VmHWM:[[:space:]]*\([0-9]*\) kB$/\1/p' \
+		"/proc/$(cat "$dir/vm1.pid")/status")
+	if [ -n "$kb" ] && [ "$kb" -le $(($1 * 1000)) ]; then
+		echo "peak memory at most $1 MB: yes"
+		echo "peak memory: $kb kB" >&2
+	else
+		echo "peak memory at most $1 MB: no"
+		echo "peak memory: ${kb:-process ended} kB" >&2
+	fi
+}
+
+# descriptors_within N: the open descriptors of VM 1 now
+descriptors_within() {
+	local open
+
+	set -- "$1" "/proc/$(cat "$dir/vm1.pid")/fd/"*
+	open=$(($# - 1))
+	if [ -e "$2" ] && [ "$open" -le "$1" ]; then
+		echo "open descriptors at most $1: yes"
+	else
+		echo "open descriptors at most $1: no"
+	fi
+	echo "open descriptors: $open" >&2
+}
--- a/tests/fuzz/fz-page.c
+++ b/tests/fuzz/fz-page.c
@@ -45,11 +45,20 @@
 	relay->objects_len++;
 }
 
+static void on_rollout(void *ctx, const struct fr_rollout_order *order)
+{
+	(void)ctx;
+	fz_check(order->duration > 0 && order->target_version.len > 0,
+		 "an order is within its bounds");
+}
+
 static const struct fr_object_ops object_ops = {
 	.routes = on_routes,
 	.upstream = on_upstream,
 	.upstream_removed = on_upstream_removed,
 	.dc_exclusion = on_dc_exclusion,
+	.rollout = on_rollout,
+	.rollout_removed = ignore_rollout_removed,
 	.raw_object = on_raw_object,
 	.object_kept = ignore_object_kept,
 	.invalid_object = ignore_invalid_object,
@@ -68,7 +77,7 @@
 
 	if (ret)
 		goto out;
-	pf_end_page(true, page.revision, &first.page);
+	pf_end_page(true, page.revision, -1, &first.page);
 	fz_check(!pf_read_watch(kind, gb_buf_str(&first.page), &object_ops,
 				&second, &relayed),
 		 "a relayed page can be read");
--- a/tests/fuzz/fz-response.c
+++ b/tests/fuzz/fz-response.c
@@ -59,6 +59,8 @@
 	fz_check(whole.end == parts.end, "the same end");
 	if (whole.end == HT_PART_INVALID)
 		goto out;
+	fz_check(!whole.status || (whole.status >= 200 && whole.status <= 599),
+		 "the status is one of HTTP");
 	fz_check(whole.status == parts.status &&
 			 whole.fields_len == parts.fields_len &&
 			 whole.keep_alive == parts.keep_alive,
