fleet: avoid an upstream whose calls mostly fail, however late others are

Only answers have a latency. On a VM that is busy all answers are late, so a good upstream came to a latency ratio of up to 20, and one that failed every call, which costs at most 5 expected response times, was chosen before it. Reading its endless answers kept the VM busy.

Change: an upstream is avoided while more than half of its recent calls failed and the last one did. A refusal is no failure here.

--- a/packages/fleet/fl-fleet.c
+++ b/packages/fleet/fl-fleet.c
@@ -108,6 +108,7 @@
 	upstream->latency_ratio = 1;
 	upstream->latency_ratio_at = now;
 	upstream->failure_rate = 0;
+	upstream->last_call_failed = false;
 	upstream->avoid_until = 0;
 	upstream->abandoned_calls = 0;
 	upstream->unreachable_until = 0;
--- a/packages/fleet/fl-score.c
+++ b/packages/fleet/fl-score.c
@@ -10,6 +10,9 @@
 /* Cost of a failed call and its retry, in expected response times. */
 #define FAILURE_COST 4
 
+/* Failure rate above which an upstream is avoided if its last call failed. */
+#define FAILING_RATE 0.5
+
 /* Bounds the effect of a single slow call on the moving average. */
 #define LATENCY_RATIO_MAX 20.0
 
@@ -59,6 +62,16 @@
 	       remaining_weight(upstream->failure_rate_at, now);
 }
 
+/*
+ * Only answers have a latency, so on a busy VM, where all answers are late, an
+ * upstream that always fails would look faster than the others.
+ */
+static bool is_failing(const struct fl_upstream *upstream, gb_time now)
+{
+	return upstream->last_call_failed &&
+	       current_failure_rate(upstream, now) > FAILING_RATE;
+}
+
 static void add_latency_sample(struct fl_upstream *upstream, gb_time now,
 			       gb_time elapsed, gb_time expected_latency)
 {
@@ -92,6 +105,7 @@
 	upstream->failed_connects = 0;
 	upstream->avoid_until = 0;
 	upstream->unreachable_until = 0;
+	upstream->last_call_failed = false;
 	add_failure_sample(upstream, now, 0);
 	add_latency_sample(upstream, now, elapsed, expected_latency);
 }
@@ -101,6 +115,7 @@
 	upstream->in_flight--;
 	upstream->unresponsive_since = now;
 	upstream->failed_connects = 0;
+	upstream->last_call_failed = false;
 	if (!fl_is_paused(upstream, now))
 		add_failure_sample(upstream, now, 1);
 }
@@ -108,6 +123,7 @@
 void fl_call_failed(struct fl_upstream *upstream, gb_time now)
 {
 	upstream->in_flight--;
+	upstream->last_call_failed = true;
 	add_failure_sample(upstream, now, 1);
 }
 
@@ -277,6 +293,8 @@
 			  upstream->avoid_until - now);
 	else if (upstream->avoid_until > now)
 		set_class(found, FL_AVOIDED, GB_STR("late"), GB_NEVER);
+	else if (is_failing(upstream, now))
+		set_class(found, FL_AVOIDED, GB_STR("failing"), GB_NEVER);
 	else
 		set_class(found, FL_GOOD, GB_STR(""), GB_NEVER);
 }
--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -101,6 +101,7 @@
 	gb_time latency_ratio_at;
 	double failure_rate; /* 0 to 1 */
 	gb_time failure_rate_at;
+	bool last_call_failed; /* rather than answered or refused */
 	gb_time avoid_until; /* set while a call is overdue or abandoned */
 	uint32_t abandoned_calls; /* consecutive, without an answer */
 	/* Start of the first abandoned call, or the time of a later refusal. */
