front: after a start, ask the VM that answered last before a standby

Readers that have just started refuse followers for a moment. Since standbys take the place of readers, a starting VM asked one standby after another, which had just started too, and after three failures the store.

--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -182,8 +182,10 @@
  * Chooses a reader of this data centre, or else of the tier; if possible, one
  * that has not failed recently. Returns NULL if this VM has to read the store.
  */
-static struct fr_peer *choose_peer(struct fr *fr, gb_time now)
+static struct fr_peer *choose_peer(const struct fr_follower *follower,
+				   gb_time now)
 {
+	struct fr *fr = follower->fr;
 	bool is_own_turn = false;
 	struct fr_peer *peer = NULL;
 	struct gb_str member;
@@ -195,6 +197,10 @@
 		return fr_get_peer(fr, member);
 	if (mem_pick_reader(fr->members, MEM_SAME_DC, &member))
 		peer = fr_get_peer(fr, member);
+	/* After a start, the standbys may have started with this VM, too. */
+	if (is_avoided(peer, now) && now - fr->started_at < SEEDS_READ_TIME &&
+	    !is_avoided(follower->last_peer, now))
+		return follower->last_peer;
 	if (is_avoided(peer, now) && !mem_all_are_readers(fr->members)) {
 		peer = choose_candidate(fr, MEM_SAME_DC, now, &is_own_turn);
 		if (!peer)
@@ -320,7 +326,7 @@
 	if (follower->hinted_peer)
 		peer = follower->hinted_peer;
 	else if (!prefers_store(follower, now))
-		peer = choose_peer(fr, now);
+		peer = choose_peer(follower, now);
 	/*
 	 * If all readers fail, a VM that has not tried the store yet tries it,
 	 * unless another VM may have the objects.
