--- a/packages/fleet/fl.h
+++ b/packages/fleet/fl.h
@@ -14,7 +14,8 @@
  *	  latency expected for the same kind of request; it decays towards 1,
  *	  so that an upstream that is no longer tried is chosen again;
  *	- failure rate: the moving share of calls that failed or were refused,
- *	  which decays as well;
+ *	  which decays as well. While it is above a half and the last call
+ *	  failed, other upstreams are preferred;
  *	- overdue calls: while a call is overdue, and for some time after one
  *	  was abandoned, other upstreams are preferred; that time doubles with
  *	  each consecutive abandoned call. An upstream that has left several
--- a/packages/front/fr-source.c
+++ b/packages/front/fr-source.c
@@ -180,7 +180,9 @@
 
 /*
  * Chooses a reader of this data centre, or else of the tier; if possible, one
- * that has not failed recently. Returns NULL if this VM has to read the store.
+ * that has not failed recently. If the reader has failed, the VM that answered
+ * last (soon after the start) or a standby takes its place. Returns NULL if
+ * this VM has to read the store.
  */
 static struct fr_peer *choose_peer(const struct fr_follower *follower,
 				   gb_time now)
